--- a/adapter/caller/operator.go
+++ b/adapter/caller/operator.go
@@ -12,8 +12,8 @@
 	"github.com/lavendervale/lavendervale/class"
 	"github.com/lavendervale/lavendervale/configuration"
 	"github.com/lavendervale/lavendervale/entry"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/membership"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 const (
@@ -89,7 +89,7 @@
 	}
 	reply := &pb.EndpointsResponse{}
 	for _, m := range o.entry.Members() {
-		if m.Instance().Role() == platform.EntryRole {
+		if m.Instance().Role() == fleet.EntryRole {
 			continue
 		}
 		reply.Endpoints = append(reply.Endpoints, o.endpoint(m))
--- a/adapter/inifile/settings.go
+++ b/adapter/inifile/settings.go
@@ -9,7 +9,7 @@
 	"github.com/lavendervale/lavendervale/adapter/certificate"
 	"github.com/lavendervale/lavendervale/adapter/seal"
 	"github.com/lavendervale/lavendervale/daemon"
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // Settings is what a settings file holds.
@@ -48,13 +48,13 @@
 	s.daemon.OperatorKeys = readKeys(f, "operators", true)
 	known := []string{"[process]", "[listen]", "[platform]", "[log]", "[operators]", "[tls]"}
 	switch s.daemon.Role {
-	case platform.EntryRole:
+	case fleet.EntryRole:
 		readEntry(f, &s.daemon)
 		known = append(known, "[handles]", "[callers]")
-	case platform.EngineRole:
+	case fleet.EngineRole:
 		readEngine(f, &s.daemon)
 		known = append(known, "[engine]")
-	case platform.ServiceRole:
+	case fleet.ServiceRole:
 		readService(f, &s.daemon)
 		known = append(known, "[service]")
 	}
@@ -68,13 +68,13 @@
 	s := f.section("process")
 	c.Name = s.required("name", "a name unique among the instances")
 	c.Domain = s.required("domain", "the failure domain")
-	role := s.oneOf("role", "", platform.EntryRole.String(), platform.EngineRole.String(), platform.ServiceRole.String())
-	c.Role, _ = platform.ParseRole(role)
+	role := s.oneOf("role", "", fleet.EntryRole.String(), fleet.EngineRole.String(), fleet.ServiceRole.String())
+	c.Role, _ = fleet.ParseRole(role)
 	c.StopTimeout = s.duration("stop-timeout", daemon.DefaultStopTimeout)
 	s.done()
 	l := f.section("listen")
 	c.Admin = l.address("admin", true)
-	if c.Role == platform.EntryRole {
+	if c.Role == fleet.EntryRole {
 		c.Callers = l.address("callers", true)
 	} else {
 		c.Peers = l.address("peers", true)
@@ -84,7 +84,7 @@
 
 func readPlatform(f *file, c *daemon.Config) {
 	s := f.section("platform")
-	c.Platform = s.address("address", c.Role != platform.ServiceRole)
+	c.Platform = s.address("address", c.Role != fleet.ServiceRole)
 	s.done()
 }
 
--- a/adapter/peer/answer.go
+++ b/adapter/peer/answer.go
@@ -6,8 +6,8 @@
 
 	"github.com/lavendervale/lavendervale/adapter/convert"
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
-	"github.com/lavendervale/lavendervale/journal"
 	"github.com/lavendervale/lavendervale/order"
 	"github.com/lavendervale/lavendervale/program"
 )
@@ -30,7 +30,7 @@
 }
 
 func (a *answerer) fault(err error) *peerpb.Fault {
-	var j *journal.Error
+	var j *history.Error
 	if errors.As(err, &j) {
 		return &peerpb.Fault{Kind: uint32(j.Kind()), Operation: j.Op(), Message: j.Error()}
 	}
--- a/adapter/peer/beat.go
+++ b/adapter/peer/beat.go
@@ -5,8 +5,8 @@
 
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
 	"github.com/lavendervale/lavendervale/configuration"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/membership"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 func fromBeat(b membership.Beat) *peerpb.Beat {
@@ -34,7 +34,7 @@
 	})
 }
 
-func fromInstances(list []platform.Instance) []*peerpb.Instance {
+func fromInstances(list []fleet.Instance) []*peerpb.Instance {
 	messages := make([]*peerpb.Instance, 0, len(list))
 	for _, i := range list {
 		messages = append(messages, &peerpb.Instance{
@@ -45,14 +45,14 @@
 	return messages
 }
 
-func toInstances(messages []*peerpb.Instance) ([]platform.Instance, error) {
-	list := make([]platform.Instance, 0, len(messages))
+func toInstances(messages []*peerpb.Instance) ([]fleet.Instance, error) {
+	list := make([]fleet.Instance, 0, len(messages))
 	for _, i := range messages {
-		role, err := platform.ParseRole(i.GetRole())
+		role, err := fleet.ParseRole(i.GetRole())
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, platform.NewInstance(platform.InstanceConfig{
+		list = append(list, fleet.NewInstance(fleet.InstanceConfig{
 			Name: i.GetName(), Address: i.GetAddress(), Domain: i.GetDomain(), Role: role,
 			Service: i.GetService(), Leaving: i.GetLeaving(),
 		}))
--- a/adapter/peer/commit.go
+++ b/adapter/peer/commit.go
@@ -4,47 +4,47 @@
 	"context"
 
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
-// Committer writes records for other processes; *journal.Committer is one.
+// Committer writes records for other processes; *history.Committer is one.
 type Committer interface {
 	// Commit writes a record.
-	Commit(ctx context.Context, r journal.Record) (journal.Position, error)
+	Commit(ctx context.Context, r history.Record) (history.Position, error)
 	// Locate returns the latest record of a program.
-	Locate(ctx context.Context, id program.ID) (journal.Tail, error)
+	Locate(ctx context.Context, id program.ID) (history.Tail, error)
 }
 
 // Committers reaches the committers of other processes.
 type Committers struct {
 	pool  *Pool
-	codec journal.Codec
+	codec history.Codec
 }
 
 // NewCommitters returns Committers whose instances are named by their address.
-func NewCommitters(p *Pool, c journal.Codec) *Committers { return &Committers{pool: p, codec: c} }
+func NewCommitters(p *Pool, c history.Codec) *Committers { return &Committers{pool: p, codec: c} }
 
 // Commit writes a record through the process at an address.
-func (c *Committers) Commit(ctx context.Context, address string, r journal.Record) (journal.Position, error) {
-	data, err := c.codec.Encode([]journal.Record{r})
+func (c *Committers) Commit(ctx context.Context, address string, r history.Record) (history.Position, error) {
+	data, err := c.codec.Encode([]history.Record{r})
 	if err != nil {
-		return journal.NoPosition, journal.Errorf("commit", journal.KindCorrupt, "%w", err)
+		return history.NoPosition, history.Errorf("commit", history.KindCorrupt, "%w", err)
 	}
 	place, err := c.ask(ctx, address, &peerpb.Request{Body: &peerpb.Request_Commit{Commit: &peerpb.Commit{Record: data}}})
 	if err != nil {
-		return journal.NoPosition, err
+		return history.NoPosition, err
 	}
-	return journal.Position(place.GetPosition()), nil
+	return history.Position(place.GetPosition()), nil
 }
 
 // Locate asks the process at an address for the latest record of a program.
-func (c *Committers) Locate(ctx context.Context, address string, id program.ID) (journal.Tail, error) {
+func (c *Committers) Locate(ctx context.Context, address string, id program.ID) (history.Tail, error) {
 	place, err := c.ask(ctx, address, &peerpb.Request{Body: &peerpb.Request_Locate{Locate: &peerpb.Locate{Program: id.Bytes()}}})
 	if err != nil {
-		return journal.Tail{}, err
+		return history.Tail{}, err
 	}
-	return journal.NewTail(journal.RecordIDFromBytes(place.GetRecord()), journal.Position(place.GetPosition())), nil
+	return history.NewTail(history.RecordIDFromBytes(place.GetRecord()), history.Position(place.GetPosition())), nil
 }
 
 // ask sends a request; a failure of the link leaves the outcome unknown.
@@ -52,18 +52,18 @@
 	const op = "reach committer"
 	x, err := c.pool.open(ctx, address, r)
 	if err != nil {
-		return nil, journal.Errorf(op, journal.KindUnknown, "%w", err)
+		return nil, history.Errorf(op, history.KindUnknown, "%w", err)
 	}
 	defer x.close()
 	reply := &peerpb.Reply{}
 	if err := x.reader.read(reply); err != nil {
-		return nil, journal.Errorf(op, journal.KindUnknown, "%w", err)
+		return nil, history.Errorf(op, history.KindUnknown, "%w", err)
 	}
 	if f := reply.GetFault(); f != nil {
-		return nil, journal.Errorf(f.GetOperation(), journal.Kind(f.GetKind()), "%s", f.GetMessage())
+		return nil, history.Errorf(f.GetOperation(), history.Kind(f.GetKind()), "%s", f.GetMessage())
 	}
 	if reply.GetPlace() == nil {
-		return nil, journal.Errorf(op, journal.KindUnknown, "answer holds no place")
+		return nil, history.Errorf(op, history.KindUnknown, "answer holds no place")
 	}
 	return reply.GetPlace(), nil
 }
@@ -72,11 +72,11 @@
 	const op = "commit for another"
 	c := a.server.config.Committer
 	if c == nil {
-		return nil, journal.Errorf(op, journal.KindUnavailable, "this instance commits for no one")
+		return nil, history.Errorf(op, history.KindUnavailable, "this instance commits for no one")
 	}
 	records, err := a.server.config.Codec.Decode(m.GetRecord())
 	if err != nil || len(records) != 1 {
-		return nil, journal.Errorf(op, journal.KindCorrupt, "want one record, got %d: %v", len(records), err)
+		return nil, history.Errorf(op, history.KindCorrupt, "want one record, got %d: %v", len(records), err)
 	}
 	position, err := c.Commit(ctx, records[0])
 	if err != nil {
@@ -89,11 +89,11 @@
 	const op = "locate for another"
 	c := a.server.config.Committer
 	if c == nil {
-		return nil, journal.Errorf(op, journal.KindUnavailable, "this instance commits for no one")
+		return nil, history.Errorf(op, history.KindUnavailable, "this instance commits for no one")
 	}
 	id, err := program.IDFromBytes(m.GetProgram())
 	if err != nil {
-		return nil, journal.Errorf(op, journal.KindCorrupt, "%w", err)
+		return nil, history.Errorf(op, history.KindCorrupt, "%w", err)
 	}
 	t, err := c.Locate(ctx, id)
 	if err != nil {
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
-	"github.com/lavendervale/lavendervale/journal"
 	"github.com/lavendervale/lavendervale/membership"
 	"github.com/lavendervale/lavendervale/order"
 	"github.com/lavendervale/lavendervale/program"
@@ -69,7 +69,7 @@
 	// Committer writes records for other processes, nil when there is none.
 	Committer Committer
 	// Codec reads the records of others.
-	Codec journal.Codec
+	Codec history.Codec
 	// Log takes what the server reports.
 	Log *zap.Logger
 }
--- a/adapter/platform/client.go
+++ b/adapter/platform/client.go
@@ -12,7 +12,7 @@
 	"net/url"
 	"time"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 const (
@@ -60,39 +60,39 @@
 }
 
 // Read returns up to limit entries of a stream from an offset on; with an
-// error of platform.KindExpired the page still names the oldest offset kept.
-func (c *Client) Read(ctx context.Context, stream string, from int64, limit int) (platform.Page, error) {
+// error of fleet.KindExpired the page still names the oldest offset kept.
+func (c *Client) Read(ctx context.Context, stream string, from int64, limit int) (fleet.Page, error) {
 	const op = "read log"
 	target := fmt.Sprintf("%s/streams/%s?from=%d&limit=%d", c.base, url.PathEscape(stream), from, limit)
 	var reply ReadReply
 	if err := c.do(ctx, op, http.MethodGet, target, nil, &reply); err != nil {
-		return platform.Page{}, err
+		return fleet.Page{}, err
 	}
-	entries := make([]platform.Entry, 0, len(reply.Entries))
+	entries := make([]fleet.Entry, 0, len(reply.Entries))
 	for _, e := range reply.Entries {
-		entries = append(entries, platform.NewEntry(e.Offset, e.Data, e.Time))
+		entries = append(entries, fleet.NewEntry(e.Offset, e.Data, e.Time))
 	}
-	page := platform.NewPage(reply.First, reply.Next, entries)
+	page := fleet.NewPage(reply.First, reply.Next, entries)
 	if from < reply.First {
-		return page, platform.Errorf(op, platform.KindExpired, "offset %d is older than %d", from, reply.First)
+		return page, fleet.Errorf(op, fleet.KindExpired, "offset %d is older than %d", from, reply.First)
 	}
 	return page, nil
 }
 
 // Instances returns the live and leaving instances, as of some time ago.
-func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
 	const op = "read instance list"
 	var reply []InstanceMessage
 	if err := c.do(ctx, op, http.MethodGet, c.base+"/instances", nil, &reply); err != nil {
 		return nil, err
 	}
-	list := make([]platform.Instance, 0, len(reply))
+	list := make([]fleet.Instance, 0, len(reply))
 	for _, m := range reply {
-		role, err := platform.ParseRole(m.Role)
+		role, err := fleet.ParseRole(m.Role)
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, platform.NewInstance(platform.InstanceConfig{
+		list = append(list, fleet.NewInstance(fleet.InstanceConfig{
 			Name: m.Name, Address: m.Address, Domain: m.Domain, Role: role, Service: m.Service, Leaving: m.Leaving,
 		}))
 	}
@@ -103,7 +103,7 @@
 func (c *Client) do(ctx context.Context, op, method, target string, body []byte, reply any) error {
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
-		return platform.Errorf(op, platform.KindInvalid, "%w", err)
+		return fleet.Errorf(op, fleet.KindInvalid, "%w", err)
 	}
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
@@ -115,7 +115,7 @@
 		return statusError(op, resp)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(reply); err != nil {
-		return platform.Errorf(op, platform.KindUnknown, "read answer: %w", err)
+		return fleet.Errorf(op, fleet.KindUnknown, "read answer: %w", err)
 	}
 	return nil
 }
@@ -123,19 +123,19 @@
 func requestError(op string, err error) error {
 	var failed *net.OpError
 	if errors.As(err, &failed) && failed.Op == "dial" {
-		return platform.Errorf(op, platform.KindUnavailable, "%w", err)
+		return fleet.Errorf(op, fleet.KindUnavailable, "%w", err)
 	}
-	return platform.Errorf(op, platform.KindUnknown, "%w", err)
+	return fleet.Errorf(op, fleet.KindUnknown, "%w", err)
 }
 
 func statusError(op string, resp *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	kind := platform.KindUnknown
+	kind := fleet.KindUnknown
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		kind = platform.KindUnavailable
+		kind = fleet.KindUnavailable
 	case http.StatusBadRequest, http.StatusNotFound:
-		kind = platform.KindInvalid
+		kind = fleet.KindInvalid
 	}
-	return platform.Errorf(op, kind, "platform answered %s: %s", resp.Status, bytes.TrimSpace(text))
+	return fleet.Errorf(op, kind, "platform answered %s: %s", resp.Status, bytes.TrimSpace(text))
 }
--- a/adapter/platform/client_test.go
+++ b/adapter/platform/client_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	adapter "github.com/lavendervale/lavendervale/adapter/platform"
-	"github.com/lavendervale/lavendervale/platform"
-	"github.com/lavendervale/lavendervale/platform/platformtest"
+	"github.com/lavendervale/lavendervale/fleet"
+	"github.com/lavendervale/lavendervale/fleet/fleettest"
 	standin "github.com/lavendervale/lavendervale/standin/platform"
 )
 
@@ -24,8 +24,8 @@
 	return c
 }
 
-func subject(l *standin.Log, port platformtest.Log) platformtest.Subject {
-	return platformtest.Subject{
+func subject(l *standin.Log, port fleettest.Log) fleettest.Subject {
+	return fleettest.Subject{
 		Log: port, Expire: l.Expire,
 		SetDown:  func(down bool) { l.SetFaults(standin.LogFaults{Down: down}) },
 		SetLossy: func(lossy bool) { l.SetFaults(standin.LogFaults{LoseAnswers: lossy}) },
@@ -33,32 +33,32 @@
 }
 
 func TestClientMeetsLogContract(t *testing.T) {
-	platformtest.TestLog(t, func(t *testing.T) platformtest.Subject {
+	fleettest.TestLog(t, func(t *testing.T) fleettest.Subject {
 		l := standin.NewLog()
 		return subject(l, serve(t, l, standin.NewInstances(0)))
 	})
 }
 
 func TestStandinMeetsLogContract(t *testing.T) {
-	platformtest.TestLog(t, func(*testing.T) platformtest.Subject {
+	fleettest.TestLog(t, func(*testing.T) fleettest.Subject {
 		l := standin.NewLog()
 		return subject(l, l)
 	})
 }
 
-func listSubject(l *standin.Instances, port platformtest.Lister) platformtest.ListSubject {
-	return platformtest.ListSubject{Lister: port, Add: l.Add, Remove: l.Remove, SetDown: l.SetDown, SetEmpty: l.SetEmpty}
+func listSubject(l *standin.Instances, port fleettest.Lister) fleettest.ListSubject {
+	return fleettest.ListSubject{Lister: port, Add: l.Add, Remove: l.Remove, SetDown: l.SetDown, SetEmpty: l.SetEmpty}
 }
 
 func TestClientMeetsListContract(t *testing.T) {
-	platformtest.TestLister(t, func(t *testing.T) platformtest.ListSubject {
+	fleettest.TestLister(t, func(t *testing.T) fleettest.ListSubject {
 		l := standin.NewInstances(0)
 		return listSubject(l, serve(t, standin.NewLog(), l))
 	})
 }
 
 func TestStandinMeetsListContract(t *testing.T) {
-	platformtest.TestLister(t, func(*testing.T) platformtest.ListSubject {
+	fleettest.TestLister(t, func(*testing.T) fleettest.ListSubject {
 		l := standin.NewInstances(0)
 		return listSubject(l, l)
 	})
@@ -66,7 +66,7 @@
 
 func TestInstancesLag(t *testing.T) {
 	list := standin.NewInstances(time.Hour)
-	list.Add(platform.NewInstance(platform.InstanceConfig{Name: "model-1"}))
+	list.Add(fleet.NewInstance(fleet.InstanceConfig{Name: "model-1"}))
 	got, err := list.Instances(context.Background())
 	require.NoError(t, err)
 	require.Empty(t, got, "a change shows only after the lag")
@@ -79,5 +79,5 @@
 	c := adapter.New(adapter.Config{Address: address})
 	_, err := c.Append(context.Background(), "a", []byte("x"))
 	require.Error(t, err)
-	require.Equal(t, platform.KindUnavailable, platform.KindOf(err))
+	require.Equal(t, fleet.KindUnavailable, fleet.KindOf(err))
 }
--- a/adapter/record/codec.go
+++ b/adapter/record/codec.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	recordpb "github.com/lavendervale/lavendervale/api/record/v1"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 )
 
 const (
@@ -19,7 +19,7 @@
 	maxDecodedBytes = 64 << 20
 )
 
-// Codec is a journal.Codec.
+// Codec is a history.Codec.
 type Codec struct {
 	encoder *zstd.Encoder
 	decoder *zstd.Decoder
@@ -39,7 +39,7 @@
 }
 
 // Encode returns the bytes of one append.
-func (c *Codec) Encode(records []journal.Record) ([]byte, error) {
+func (c *Codec) Encode(records []history.Record) ([]byte, error) {
 	batch := &recordpb.Batch{Version: formatVersion}
 	for _, r := range records {
 		batch.Records = append(batch.Records, fromRecord(r))
@@ -52,8 +52,8 @@
 }
 
 // Decode returns the records of one append; a record that can't be read is
-// named in the error and its place is taken by one of journal.StepUnknown.
-func (c *Codec) Decode(data []byte) ([]journal.Record, error) {
+// named in the error and its place is taken by one of history.StepUnknown.
+func (c *Codec) Decode(data []byte) ([]history.Record, error) {
 	plain, err := c.decoder.DecodeAll(data, nil)
 	if err != nil {
 		return nil, trace.Wrap(err, "decompress append")
@@ -62,7 +62,7 @@
 	if err := proto.Unmarshal(plain, batch); err != nil {
 		return nil, trace.Wrap(err, "decode append")
 	}
-	records := make([]journal.Record, 0, len(batch.GetRecords()))
+	records := make([]history.Record, 0, len(batch.GetRecords()))
 	var failures []error
 	for i, m := range batch.GetRecords() {
 		r, err := toRecord(m)
--- a/adapter/record/codec_test.go
+++ b/adapter/record/codec_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -20,7 +20,7 @@
 	}
 }
 
-func bodies(t testing.TB) []journal.Body {
+func bodies(t testing.TB) []history.Body {
 	call, err := program.NewCall(program.CallConfig{
 		Number: 1, MaxTokens: 5, Messages: []program.Message{program.NewMessage(program.Tool, "hello")},
 	})
@@ -34,19 +34,19 @@
 	require.NoError(t, p.Redo(call.Messages(), answer))
 	require.NoError(t, p.Split(program.NewID("caller", "child"), 7))
 	p.Claim(claim)
-	return []journal.Body{
-		journal.Started(config()), journal.Turn(call.Messages(), answer), journal.Claimed(claim),
-		journal.Settled(program.InDoubt, answer), journal.Adopted(), journal.Snapshot(p.Snapshot()),
-		journal.Finished(true), journal.Void(), journal.Split(id, 4), journal.Unsplit(id, 3),
+	return []history.Body{
+		history.Started(config()), history.Turn(call.Messages(), answer), history.Claimed(claim),
+		history.Settled(program.InDoubt, answer), history.Adopted(), history.Snapshot(p.Snapshot()),
+		history.Finished(true), history.Void(), history.Split(id, 4), history.Unsplit(id, 3),
 	}
 }
 
-func records(t testing.TB) []journal.Record {
-	var list []journal.Record
+func records(t testing.TB) []history.Record {
+	var list []history.Record
 	for i, b := range bodies(t) {
-		list = append(list, journal.NewRecord(journal.RecordConfig{
-			ID: journal.RecordID{byte(i + 1)}, Program: id, Previous: journal.RecordID{byte(i)},
-			PreviousPosition: journal.NewPosition(int64(i), 1), Home: "model-1", Time: time.Unix(int64(i+1), 0), Body: b,
+		list = append(list, history.NewRecord(history.RecordConfig{
+			ID: history.RecordID{byte(i + 1)}, Program: id, Previous: history.RecordID{byte(i)},
+			PreviousPosition: history.NewPosition(int64(i), 1), Home: "model-1", Time: time.Unix(int64(i+1), 0), Body: b,
 		}))
 	}
 	return list
--- a/adapter/record/decode.go
+++ b/adapter/record/decode.go
@@ -7,66 +7,66 @@
 
 	"github.com/lavendervale/lavendervale/adapter/convert"
 	recordpb "github.com/lavendervale/lavendervale/api/record/v1"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
-func toRecord(m *recordpb.Record) (journal.Record, error) {
+func toRecord(m *recordpb.Record) (history.Record, error) {
 	id, err := program.IDFromBytes(m.GetProgram())
 	if err != nil {
-		return journal.Record{}, trace.Wrap(err)
+		return history.Record{}, trace.Wrap(err)
 	}
 	body, err := toBody(m)
 	if err != nil {
-		return journal.Record{}, trace.Wrap(err)
+		return history.Record{}, trace.Wrap(err)
 	}
-	return journal.NewRecord(journal.RecordConfig{
-		ID: journal.RecordIDFromBytes(m.GetId()), Program: id, Epoch: m.GetEpoch(),
-		Previous:         journal.RecordIDFromBytes(m.GetPrevious()),
-		PreviousPosition: journal.Position(m.GetPreviousPosition()), Home: m.GetHome(),
+	return history.NewRecord(history.RecordConfig{
+		ID: history.RecordIDFromBytes(m.GetId()), Program: id, Epoch: m.GetEpoch(),
+		Previous:         history.RecordIDFromBytes(m.GetPrevious()),
+		PreviousPosition: history.Position(m.GetPreviousPosition()), Home: m.GetHome(),
 		Time: fromUnixNano(m.GetTimeUnixNano()), Body: body,
 	}), nil
 }
 
-func toBody(m *recordpb.Record) (journal.Body, error) {
+func toBody(m *recordpb.Record) (history.Body, error) {
 	switch b := m.GetBody().(type) {
 	case *recordpb.Record_Started:
 		c, err := toConfig(b.Started)
-		return journal.Started(c), err
+		return history.Started(c), err
 	case *recordpb.Record_Turn:
 		return toTurn(b.Turn)
 	case *recordpb.Record_Claimed:
 		c, err := toClaim(b.Claimed)
-		return journal.Claimed(c), err
+		return history.Claimed(c), err
 	case *recordpb.Record_Settled:
 		a, err := toAnswer(b.Settled.GetAnswer())
-		return journal.Settled(program.Outcome(b.Settled.GetOutcome()), a), err
+		return history.Settled(program.Outcome(b.Settled.GetOutcome()), a), err
 	case *recordpb.Record_Adopted:
-		return journal.Adopted(), nil
+		return history.Adopted(), nil
 	case *recordpb.Record_Snapshot:
 		s, err := ToSnapshot(b.Snapshot, m.GetEpoch())
-		return journal.Snapshot(s), err
+		return history.Snapshot(s), err
 	case *recordpb.Record_Finished:
-		return journal.Finished(b.Finished.GetCanceled()), nil
+		return history.Finished(b.Finished.GetCanceled()), nil
 	case *recordpb.Record_Void:
-		return journal.Void(), nil
+		return history.Void(), nil
 	case *recordpb.Record_Split:
 		child, err := program.IDFromBytes(b.Split.GetChild())
-		return journal.Split(child, b.Split.GetTokens()), err
+		return history.Split(child, b.Split.GetTokens()), err
 	case *recordpb.Record_Unsplit:
 		child, err := program.IDFromBytes(b.Unsplit.GetChild())
-		return journal.Unsplit(child, b.Unsplit.GetUsedTokens()), err
+		return history.Unsplit(child, b.Unsplit.GetUsedTokens()), err
 	}
-	return journal.Body{}, trace.BadParameter("record has a body this version does not know")
+	return history.Body{}, trace.BadParameter("record has a body this version does not know")
 }
 
-func toTurn(t *recordpb.Turn) (journal.Body, error) {
+func toTurn(t *recordpb.Turn) (history.Body, error) {
 	messages, err := convert.Messages(t.GetMessages())
 	if err != nil {
-		return journal.Body{}, err
+		return history.Body{}, err
 	}
 	a, err := toAnswer(t.GetAnswer())
-	return journal.Turn(messages, a), err
+	return history.Turn(messages, a), err
 }
 
 func toConfig(m *recordpb.Started) (program.Config, error) {
--- a/adapter/record/encode.go
+++ b/adapter/record/encode.go
@@ -5,11 +5,11 @@
 
 	"github.com/lavendervale/lavendervale/adapter/convert"
 	recordpb "github.com/lavendervale/lavendervale/api/record/v1"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
-func fromRecord(r journal.Record) *recordpb.Record {
+func fromRecord(r history.Record) *recordpb.Record {
 	m := &recordpb.Record{
 		Id: r.ID().Bytes(), Program: r.Program().Bytes(), Epoch: r.Epoch(), Previous: r.Previous().Bytes(),
 		PreviousPosition: int64(r.PreviousPosition()), Home: r.Home(), TimeUnixNano: unixNano(r.Time()),
@@ -18,31 +18,31 @@
 	return m
 }
 
-func setBody(m *recordpb.Record, b journal.Body) {
+func setBody(m *recordpb.Record, b history.Body) {
 	switch b.Step() {
-	case journal.StepStarted:
+	case history.StepStarted:
 		m.Body = &recordpb.Record_Started{Started: fromConfig(b.Started())}
-	case journal.StepTurn:
+	case history.StepTurn:
 		m.Body = &recordpb.Record_Turn{Turn: &recordpb.Turn{
 			Messages: convert.FromMessages(b.Messages()), Answer: fromAnswer(b.Answer()),
 		}}
-	case journal.StepClaimed:
+	case history.StepClaimed:
 		m.Body = &recordpb.Record_Claimed{Claimed: fromClaim(b.Claim())}
-	case journal.StepSettled:
+	case history.StepSettled:
 		m.Body = &recordpb.Record_Settled{Settled: &recordpb.Settled{
 			Number: b.Answer().Number(), Outcome: uint32(b.Outcome()), Answer: fromAnswer(b.Answer()),
 		}}
-	case journal.StepAdopted:
+	case history.StepAdopted:
 		m.Body = &recordpb.Record_Adopted{Adopted: &recordpb.Adopted{}}
-	case journal.StepSnapshot:
+	case history.StepSnapshot:
 		m.Body = &recordpb.Record_Snapshot{Snapshot: FromSnapshot(b.Snapshot())}
-	case journal.StepFinished:
+	case history.StepFinished:
 		m.Body = &recordpb.Record_Finished{Finished: &recordpb.Finished{Canceled: b.Canceled()}}
-	case journal.StepVoid:
+	case history.StepVoid:
 		m.Body = &recordpb.Record_Void{Void: &recordpb.Void{}}
-	case journal.StepSplit:
+	case history.StepSplit:
 		m.Body = &recordpb.Record_Split{Split: &recordpb.Split{Child: b.Child().Bytes(), Tokens: b.Tokens()}}
-	case journal.StepUnsplit:
+	case history.StepUnsplit:
 		m.Body = &recordpb.Record_Unsplit{Unsplit: &recordpb.Unsplit{Child: b.Child().Bytes(), UsedTokens: b.Tokens()}}
 	}
 }
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/lavendervale/lavendervale/class"
+	platformlog "github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/membership"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 const (
@@ -124,9 +124,9 @@
 	for i := range entries {
 		names = append(names, fmt.Sprintf("entry-%d", i))
 	}
-	var list []platform.Instance
+	var list []platformlog.Instance
 	for _, e := range f.endpoints {
-		list = append(list, platform.NewInstance(platform.InstanceConfig{Name: e.name, Role: platform.EngineRole}))
+		list = append(list, platformlog.NewInstance(platformlog.InstanceConfig{Name: e.name, Role: platformlog.EngineRole}))
 	}
 	for _, n := range names {
 		var subset []string
--- a/bench/role_test.go
+++ b/bench/role_test.go
@@ -16,10 +16,10 @@
 	"github.com/lavendervale/lavendervale/adapter/record"
 	"github.com/lavendervale/lavendervale/configuration"
 	"github.com/lavendervale/lavendervale/entry"
+	platformlog "github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/membership"
 	"github.com/lavendervale/lavendervale/order"
-	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/program"
 	platformstandin "github.com/lavendervale/lavendervale/standin/platform"
 )
@@ -88,10 +88,10 @@
 		address := beatServer(tb, ctx)
 		list := platformstandin.NewInstances(0)
 		for i := range largeEntries {
-			list.Add(platform.NewInstance(platform.InstanceConfig{Name: fmt.Sprintf("entry-%d", i), Role: platform.EntryRole}))
+			list.Add(platformlog.NewInstance(platformlog.InstanceConfig{Name: fmt.Sprintf("entry-%d", i), Role: platformlog.EntryRole}))
 		}
 		for _, i := range manyInstances(largeEndpoints) {
-			list.Add(platform.NewInstance(platform.InstanceConfig{Name: i.Name(), Address: address, Domain: i.Domain(), Role: i.Role()}))
+			list.Add(platformlog.NewInstance(platformlog.InstanceConfig{Name: i.Name(), Address: address, Domain: i.Domain(), Role: i.Role()}))
 		}
 		log := platformstandin.NewLog()
 		data, err := record.Publications{}.Encode(entry.Publication{Base: configuration.NoVersion, Text: text})
@@ -106,7 +106,7 @@
 			Configurations: configuration.NewStore(inifile.ParseConfiguration), Members: members, Streams: 64,
 		})
 		go e.Run(ctx)
-		for members.Count(platform.EngineRole) < largeEndpoints {
+		for members.Count(platformlog.EngineRole) < largeEndpoints {
 			time.Sleep(10 * time.Millisecond)
 		}
 		return e
--- a/bench/slope_test.go
+++ b/bench/slope_test.go
@@ -16,12 +16,12 @@
 	"github.com/lavendervale/lavendervale/adapter/peer"
 	"github.com/lavendervale/lavendervale/adapter/record"
 	"github.com/lavendervale/lavendervale/configuration"
+	platformlog "github.com/lavendervale/lavendervale/fleet"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
-	"github.com/lavendervale/lavendervale/journal"
 	"github.com/lavendervale/lavendervale/membership"
 	"github.com/lavendervale/lavendervale/order"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/program"
 	"github.com/lavendervale/lavendervale/queue"
 	platformstandin "github.com/lavendervale/lavendervale/standin/platform"
@@ -184,10 +184,10 @@
 
 func (idle) Release(context.Context, program.ID) error { return nil }
 
-func (idle) Commit(context.Context, journal.Record) (journal.Position, error) { return 0, nil }
+func (idle) Commit(context.Context, history.Record) (history.Position, error) { return 0, nil }
 
-func (idle) Load(context.Context, program.ID) (*journal.Loaded, error) {
-	return nil, journal.Errorf("load", journal.KindNotFound, "nothing is kept")
+func (idle) Load(context.Context, program.ID) (*history.Loaded, error) {
+	return nil, history.Errorf("load", history.KindNotFound, "nothing is kept")
 }
 
 func (idle) Locate(string) (string, uint64, error) { return "", 0, nil }
@@ -250,11 +250,11 @@
 	return perRun(5, 2000, func() { q.Push(q.Pop()) })
 }
 
-func manyInstances(n int) []platform.Instance {
-	list := make([]platform.Instance, 0, n)
+func manyInstances(n int) []platformlog.Instance {
+	list := make([]platformlog.Instance, 0, n)
 	for i := range n {
-		list = append(list, platform.NewInstance(platform.InstanceConfig{
-			Name: fmt.Sprintf("model-%d", i), Address: fmt.Sprintf("10.%d.%d.1:7410", i/250, i%250), Domain: "domain-a", Role: platform.EngineRole,
+		list = append(list, platformlog.NewInstance(platformlog.InstanceConfig{
+			Name: fmt.Sprintf("model-%d", i), Address: fmt.Sprintf("10.%d.%d.1:7410", i/250, i%250), Domain: "domain-a", Role: platformlog.EngineRole,
 		}))
 	}
 	return list
@@ -358,24 +358,24 @@
 	return membership.NewAnswer(membership.AnswerConfig{})
 }
 
-func turnRecords(tb testing.TB, id program.ID, n int) []journal.Record {
+func turnRecords(tb testing.TB, id program.ID, n int) []history.Record {
 	tb.Helper()
 	p := program.New(program.Config{Caller: "c", Key: id.String(), Class: "relay", Budget: 1 << 40})
-	list := []journal.Record{record1(id, journal.RecordID{}, journal.Started(p.Config()))}
+	list := []history.Record{record1(id, history.RecordID{}, history.Started(p.Config()))}
 	for i := range n {
 		call, err := program.NewCall(program.CallConfig{
 			Number: uint32(i + 1), MaxTokens: 5, Messages: []program.Message{program.NewMessage(program.User, text(i, 200))},
 		})
 		require.NoError(tb, err)
 		a := program.NewAnswer(program.AnswerConfig{Call: call, Text: text(i+7, 200), Usage: program.NewUsage(program.UsageConfig{Prompt: 9, Output: 9})})
-		list = append(list, record1(id, list[i].ID(), journal.Turn(call.Messages(), a)))
+		list = append(list, record1(id, list[i].ID(), history.Turn(call.Messages(), a)))
 	}
 	return list
 }
 
-func record1(id program.ID, previous journal.RecordID, b journal.Body) journal.Record {
-	return journal.NewRecord(journal.RecordConfig{
-		ID: journal.NewRecordID(), Program: id, Previous: previous, PreviousPosition: journal.NoPosition, Home: "model-1", Time: time.Unix(9, 0), Body: b,
+func record1(id program.ID, previous history.RecordID, b history.Body) history.Record {
+	return history.NewRecord(history.RecordConfig{
+		ID: history.NewRecordID(), Program: id, Previous: previous, PreviousPosition: history.NoPosition, Home: "model-1", Time: time.Unix(9, 0), Body: b,
 	})
 }
 
@@ -401,7 +401,7 @@
 	l := platformstandin.NewLog()
 	codec := record.NewCodec()
 	for from := 0; from < n; from += 500 {
-		var batch []journal.Record
+		var batch []history.Record
 		for i := from; i < from+500; i++ {
 			batch = append(batch, turnRecords(tb, program.NewID("c", fmt.Sprint(i)), 0)...)
 		}
@@ -413,7 +413,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	return heapOf(func() any {
-		c := journal.NewCommitter(journal.CommitterConfig{Log: l, Codec: codec, Prefix: "p", Streams: 1})
+		c := history.NewCommitter(history.CommitterConfig{Log: l, Codec: codec, Prefix: "p", Streams: 1})
 		_, err := c.Locate(ctx, program.NewID("c", "0"))
 		require.NoError(tb, err)
 		require.Equal(tb, n, c.Stats().Programs)
@@ -425,7 +425,7 @@
 func recoveryTime(tb testing.TB, n int) float64 {
 	tb.Helper()
 	l := platformstandin.NewLog()
-	c := journal.NewCommitter(journal.CommitterConfig{Log: l, Codec: record.NewCodec(), Prefix: "p", Streams: 1, Linger: time.Microsecond})
+	c := history.NewCommitter(history.CommitterConfig{Log: l, Codec: record.NewCodec(), Prefix: "p", Streams: 1, Linger: time.Microsecond})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go c.Run(ctx)
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -7,7 +7,7 @@
 
 	"github.com/lavendervale/lavendervale/adapter/certificate"
 	"github.com/lavendervale/lavendervale/configuration"
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // Config describes a process.
@@ -17,7 +17,7 @@
 	// Domain is the failure domain.
 	Domain string
 	// Role tells what the process does.
-	Role platform.Role
+	Role fleet.Role
 	// Peers is where other processes of the system are listened to, as an IP
 	// address and a port; entries have none.
 	Peers string
--- a/daemon/crashes.go
+++ b/daemon/crashes.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/program"
 	"github.com/lavendervale/lavendervale/quarantine"
 )
@@ -24,7 +24,7 @@
 	// Append adds data to a stream.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns entries of a stream from an offset on.
-	Read(ctx context.Context, stream string, from int64, limit int) (platform.Page, error)
+	Read(ctx context.Context, stream string, from int64, limit int) (fleet.Page, error)
 }
 
 // crashes follows the quarantine stream and reports to it.
@@ -78,7 +78,7 @@
 	defer c.mu.Unlock()
 	for {
 		page, err := c.log.Read(ctx, quarantineStream, c.next, quarantineLimit)
-		if err != nil && platform.KindOf(err) != platform.KindExpired {
+		if err != nil && fleet.KindOf(err) != fleet.KindExpired {
 			return err
 		}
 		if len(page.Entries()) == 0 {
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -16,11 +16,11 @@
 	"github.com/lavendervale/lavendervale/adapter/record"
 	"github.com/lavendervale/lavendervale/api/lavendervale/v1/lavendervalev1connect"
 	"github.com/lavendervale/lavendervale/configuration"
+	"github.com/lavendervale/lavendervale/fleet"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
-	"github.com/lavendervale/lavendervale/journal"
 	"github.com/lavendervale/lavendervale/membership"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 const (
@@ -40,7 +40,7 @@
 	store       *configuration.Store
 	pool        *peer.Pool
 	platform    *platformadapter.Client
-	committer   *journal.Committer
+	committer   *history.Committer
 	codec       *record.Codec
 	crashes     *crashes
 	engine      *engine.Client
@@ -76,7 +76,7 @@
 		peers: secure(listeners[0], c.Certificates, true), instances: map[string]versions{}, owners: owners{self: c.Name},
 	}
 	server := peer.ServerConfig{Beats: p, Log: c.Logger}
-	if c.Role == platform.EngineRole {
+	if c.Role == fleet.EngineRole {
 		p.addHome()
 		server.Home = p.home
 		server.Committer = p.committer
@@ -96,8 +96,8 @@
 	p.platform = platformadapter.New(platformadapter.Config{Address: c.Platform})
 	p.engine = engine.New(engine.Config{Address: c.Engine.Address})
 	p.codec = record.NewCodec()
-	p.committer = journal.NewCommitter(journal.CommitterConfig{Log: p.platform, Codec: p.codec, Prefix: JournalPrefix})
-	router := journal.NewRouter(journal.RouterConfig{Local: p.committer, Remote: peer.NewCommitters(p.pool, p.codec), Owners: &p.owners})
+	p.committer = history.NewCommitter(history.CommitterConfig{Log: p.platform, Codec: p.codec, Prefix: JournalPrefix})
+	router := history.NewRouter(history.RouterConfig{Local: p.committer, Remote: peer.NewCommitters(p.pool, p.codec), Owners: &p.owners})
 	p.crashes = newCrashes(p.platform, c.Logger)
 	p.home = home.New(home.Config{
 		Name: c.Name, Incarnation: p.incarnation, Engine: p.engine, Journal: router, Codec: p.codec, Crashes: p.crashes,
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,7 +17,7 @@
 	"github.com/lavendervale/lavendervale/api/lavendervale/v1/lavendervalev1connect"
 	"github.com/lavendervale/lavendervale/configuration"
 	"github.com/lavendervale/lavendervale/entry"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/membership"
 )
 
@@ -64,7 +64,7 @@
 	members := membership.NewTable()
 	p.entry = entry.New(entry.Config{
 		Name: c.Name, Homes: peer.NewHomes(p.pool, directory{members: members}), Sealer: sealer, Log: p.platform,
-		Lister: p.platform, Records: record.Publications{}, Configurations: p.store, Members: members, Streams: journal.DefaultStreams, Logger: c.Logger,
+		Lister: p.platform, Records: record.Publications{}, Configurations: p.store, Members: members, Streams: history.DefaultStreams, Logger: c.Logger,
 	})
 	p.callers = newWeb(secure(listeners[0], c.Certificates, false), p.callerHandler(callerKeys), c.Logger)
 	p.admin = newWeb(secure(listeners[1], c.Certificates, false), p.adminHandler(operatorKeys), c.Logger)
--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -3,13 +3,13 @@
 import (
 	"sync/atomic"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // owners holds the committer of each stream, as an entry last said.
 type owners struct {
 	self string
-	list atomic.Pointer[[]platform.Instance]
+	list atomic.Pointer[[]fleet.Instance]
 }
 
 // Owner returns the address of the process that commits for a stream, and
@@ -22,4 +22,4 @@
 	return (*list)[stream].Address(), true
 }
 
-func (o *owners) set(list []platform.Instance) { o.list.Store(&list) }
+func (o *owners) set(list []fleet.Instance) { o.list.Store(&list) }
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -8,7 +8,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // Process is one process of the system with its listeners open.
@@ -44,7 +44,7 @@
 	if c.Service.Slots == 0 {
 		c.Service.Slots = DefaultServiceSlots
 	}
-	if c.Role == platform.EntryRole {
+	if c.Role == fleet.EntryRole {
 		return newEntryProcess(c)
 	}
 	return newEndpointProcess(c)
--- a/dev/process.go
+++ b/dev/process.go
@@ -10,7 +10,7 @@
 
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/daemon"
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/standin/engine"
 	"github.com/lavendervale/lavendervale/standin/service"
 	"github.com/lavendervale/lavendervale/standin/wire"
@@ -25,7 +25,7 @@
 	name := fmt.Sprintf("model-%d", i+1)
 	s.engines[name] = e
 	return s.startProcess(daemon.Config{
-		Name: name, Domain: s.domain(i), Role: platform.EngineRole, Engine: daemon.EngineConfig{Address: address, Slots: s.config.Slots},
+		Name: name, Domain: s.domain(i), Role: fleet.EngineRole, Engine: daemon.EngineConfig{Address: address, Slots: s.config.Slots},
 	})
 }
 
@@ -37,14 +37,14 @@
 	}
 	s.services[name] = v
 	return s.startProcess(daemon.Config{
-		Name: name + "-1", Domain: s.domain(i), Role: platform.ServiceRole,
+		Name: name + "-1", Domain: s.domain(i), Role: fleet.ServiceRole,
 		Service: daemon.ServiceConfig{Name: name, Address: address},
 	})
 }
 
 func (s *Site) startEntry(i int) error {
 	return s.startProcess(daemon.Config{
-		Name: entryName(i), Domain: s.domain(i), Role: platform.EntryRole,
+		Name: entryName(i), Domain: s.domain(i), Role: fleet.EntryRole,
 		HandleKey: s.handleKey, CallerKeys: map[string]string{Caller: s.callerKey, OtherCaller: s.otherKey},
 	})
 }
@@ -79,7 +79,7 @@
 		defer close(n.done)
 		n.err = p.Run(ctx)
 	}()
-	s.instances.Add(platform.NewInstance(platform.InstanceConfig{
+	s.instances.Add(fleet.NewInstance(fleet.InstanceConfig{
 		Name: c.Name, Address: address, Domain: c.Domain, Role: c.Role, Service: c.Service.Name,
 	}))
 	return nil
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/configuration"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/membership"
-	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/timer"
 )
 
@@ -60,11 +60,11 @@
 		return e.watched
 	}
 	entries := []string{e.config.Name}
-	var endpoints []platform.Instance
+	var endpoints []fleet.Instance
 	for _, m := range e.members.Members(time.Now()) {
 		i := m.Instance()
 		switch {
-		case i.Role() != platform.EntryRole:
+		case i.Role() != fleet.EntryRole:
 			endpoints = append(endpoints, i)
 		case i.Name() != e.config.Name:
 			entries = append(entries, i.Name())
--- a/entry/fanout.go
+++ b/entry/fanout.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/membership"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 const (
@@ -17,9 +17,9 @@
 
 // fanout is what an entry tells all instances alike.
 type fanout struct {
-	services          []platform.Instance
+	services          []fleet.Instance
 	servicesVersion   uint64
-	committers        []platform.Instance
+	committers        []fleet.Instance
 	committersVersion uint64
 	members           uint64
 	at                time.Time
@@ -39,7 +39,7 @@
 		age: max(fanoutAge, time.Duration(len(members))*fanoutSpacing),
 	}
 	for _, m := range members {
-		if m.Instance().Role() == platform.ServiceRole {
+		if m.Instance().Role() == fleet.ServiceRole {
 			f.services = append(f.services, m.Instance())
 		}
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/configuration"
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/timer"
 )
 
@@ -30,7 +30,7 @@
 func (e *Entry) every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) {
 	for ctx.Err() == nil {
 		f(ctx)
-		_ = timer.Sleep(ctx, max(interval, time.Duration(e.members.Count(platform.EntryRole))*readSpacing))
+		_ = timer.Sleep(ctx, max(interval, time.Duration(e.members.Count(fleet.EntryRole))*readSpacing))
 	}
 }
 
@@ -60,7 +60,7 @@
 func (e *Entry) readConfiguration(ctx context.Context, next int64) (int64, error) {
 	for {
 		page, err := e.config.Log.Read(ctx, ConfigurationStream, next, followLimit)
-		if err != nil && platform.KindOf(err) != platform.KindExpired {
+		if err != nil && fleet.KindOf(err) != fleet.KindExpired {
 			return next, err
 		}
 		if page.Next() < next {
@@ -78,7 +78,7 @@
 	}
 }
 
-func (e *Entry) applyPublication(entry platform.Entry) {
+func (e *Entry) applyPublication(entry fleet.Entry) {
 	p, err := e.config.Records.Decode(entry.Data())
 	if err != nil {
 		e.config.Logger.Error("publication can't be read", zap.Int64("offset", entry.Offset()), zap.Error(err))
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/membership"
-	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -39,13 +39,13 @@
 	// Append adds data to a stream and returns its offset.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns up to limit entries from an offset on.
-	Read(ctx context.Context, stream string, from int64, limit int) (platform.Page, error)
+	Read(ctx context.Context, stream string, from int64, limit int) (fleet.Page, error)
 }
 
 // Lister reads the platform's list of instances.
 type Lister interface {
 	// Instances returns the live and leaving instances, as of some time ago.
-	Instances(ctx context.Context) ([]platform.Instance, error)
+	Instances(ctx context.Context) ([]fleet.Instance, error)
 }
 
 // RecordCodec turns published configurations into bytes of the log and back.
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lavendervale/lavendervale/configuration"
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 const (
@@ -39,7 +39,7 @@
 
 // publishError tells whether a publication may yet come into force.
 func publishError(op string, err error) error {
-	if platform.KindOf(err) == platform.KindUnknown {
+	if fleet.KindOf(err) == fleet.KindUnknown {
 		return configuration.Errorf(op, configuration.KindUnavailable, "log did not answer, the publication may yet come into force: %w", err)
 	}
 	return configuration.Errorf(op, configuration.KindUnavailable, "log did not take it: %w", err)
--- a/entry/start.go
+++ b/entry/start.go
@@ -9,10 +9,10 @@
 	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/class"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/membership"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -147,7 +147,7 @@
 			continue
 		}
 		i := m.Instance()
-		if i.Role() != platform.EngineRole || m.Leaving() || conf.Draining(i.Name()) {
+		if i.Role() != fleet.EngineRole || m.Leaving() || conf.Draining(i.Name()) {
 			continue
 		}
 		if model != "" && i.Service() != "" && i.Service() != model {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -15,10 +15,10 @@
 	"github.com/lavendervale/lavendervale/adapter/record"
 	"github.com/lavendervale/lavendervale/configuration"
 	"github.com/lavendervale/lavendervale/entry"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/membership"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/program"
 	standin "github.com/lavendervale/lavendervale/standin/platform"
 )
@@ -62,7 +62,7 @@
 func (w *world) endpoint(name string) *endpoint {
 	e := &endpoint{name: name, store: configuration.NewStore(inifile.ParseConfiguration)}
 	w.endpoints[name] = e
-	w.list.Add(platform.NewInstance(platform.InstanceConfig{Name: name, Address: name, Role: platform.EngineRole}))
+	w.list.Add(fleet.NewInstance(fleet.InstanceConfig{Name: name, Address: name, Role: fleet.EngineRole}))
 	return e
 }
 
--- /dev/null
+++ b/fleet/doc.go
@@ -0,0 +1,3 @@
+// Package fleet holds what the platform gives: an append-only log with
+// offsets and a list of instances.
+package fleet
--- a/platform/platformtest/lister.go
+++ b/fleet/fleettest/lister.go
@@ -1,4 +1,4 @@
-package platformtest
+package fleettest
 
 import (
 	"context"
@@ -6,13 +6,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // Lister is the port that TestLister checks.
 type Lister interface {
 	// Instances returns the live and leaving instances, as of some time ago.
-	Instances(ctx context.Context) ([]platform.Instance, error)
+	Instances(ctx context.Context) ([]fleet.Instance, error)
 }
 
 // ListSubject is an instance list under test with what only its stand-in can do.
@@ -20,7 +20,7 @@
 	// Lister is what is tested; it does not lag.
 	Lister Lister
 	// Add lists an instance, or replaces the one of its name.
-	Add func(i platform.Instance)
+	Add func(i fleet.Instance)
 	// Remove takes the instance of a name off the list.
 	Remove func(name string)
 	// SetDown makes the list refuse to answer, or not.
@@ -31,23 +31,23 @@
 
 // TestLister runs an instance list through the contract.
 func TestLister(t *testing.T, fresh func(t *testing.T) ListSubject) {
-	one := platform.NewInstance(platform.InstanceConfig{
-		Name: "model-1", Address: "127.0.0.1:1", Domain: "a", Role: platform.EngineRole, Service: "small",
+	one := fleet.NewInstance(fleet.InstanceConfig{
+		Name: "model-1", Address: "127.0.0.1:1", Domain: "a", Role: fleet.EngineRole, Service: "small",
 	})
-	leaving := platform.NewInstance(platform.InstanceConfig{
-		Name: "model-1", Address: "127.0.0.1:1", Domain: "a", Role: platform.EngineRole, Service: "small", Leaving: true,
+	leaving := fleet.NewInstance(fleet.InstanceConfig{
+		Name: "model-1", Address: "127.0.0.1:1", Domain: "a", Role: fleet.EngineRole, Service: "small", Leaving: true,
 	})
-	two := platform.NewInstance(platform.InstanceConfig{Name: "payment-1", Address: "127.0.0.1:2", Domain: "b", Role: platform.ServiceRole})
+	two := fleet.NewInstance(fleet.InstanceConfig{Name: "payment-1", Address: "127.0.0.1:2", Domain: "b", Role: fleet.ServiceRole})
 	tests := []struct {
 		name  string
 		steps func(s ListSubject)
-		want  []platform.Instance
+		want  []fleet.Instance
 		fails bool
 	}{
 		{name: "nothing listed", steps: func(ListSubject) {}},
-		{name: "all fields come through", steps: func(s ListSubject) { s.Add(one); s.Add(two) }, want: []platform.Instance{one, two}},
-		{name: "leaving replaces live", steps: func(s ListSubject) { s.Add(one); s.Add(leaving) }, want: []platform.Instance{leaving}},
-		{name: "removed", steps: func(s ListSubject) { s.Add(one); s.Add(two); s.Remove("model-1") }, want: []platform.Instance{two}},
+		{name: "all fields come through", steps: func(s ListSubject) { s.Add(one); s.Add(two) }, want: []fleet.Instance{one, two}},
+		{name: "leaving replaces live", steps: func(s ListSubject) { s.Add(one); s.Add(leaving) }, want: []fleet.Instance{leaving}},
+		{name: "removed", steps: func(s ListSubject) { s.Add(one); s.Add(two); s.Remove("model-1") }, want: []fleet.Instance{two}},
 		{name: "empty by mistake", steps: func(s ListSubject) { s.Add(one); s.SetEmpty(true) }},
 		{name: "down", steps: func(s ListSubject) { s.Add(one); s.SetDown(true) }, fails: true},
 	}
@@ -57,7 +57,7 @@
 			test.steps(s)
 			list, err := s.Lister.Instances(context.Background())
 			if test.fails {
-				require.Equal(t, platform.KindUnavailable, platform.KindOf(err))
+				require.Equal(t, fleet.KindUnavailable, fleet.KindOf(err))
 				return
 			}
 			require.NoError(t, err)
--- a/platform/platformtest/log.go
+++ b/fleet/fleettest/log.go
@@ -1,4 +1,4 @@
-package platformtest
+package fleettest
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // Log is the port that TestLog checks.
@@ -16,7 +16,7 @@
 	// Append adds data to a stream and returns its offset.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns up to limit entries from an offset on.
-	Read(ctx context.Context, stream string, from int64, limit int) (platform.Page, error)
+	Read(ctx context.Context, stream string, from int64, limit int) (fleet.Page, error)
 }
 
 // Subject is a log under test with what only its stand-in can do.
@@ -112,7 +112,7 @@
 	s.Expire("a", 3)
 	page, err := s.Log.Read(context.Background(), "a", 1, 10)
 	require.Error(t, err)
-	require.Equal(t, platform.KindExpired, platform.KindOf(err))
+	require.Equal(t, fleet.KindExpired, fleet.KindOf(err))
 	require.EqualValues(t, 3, page.First())
 	page, err = s.Log.Read(context.Background(), "a", 3, 10)
 	require.NoError(t, err)
@@ -123,7 +123,7 @@
 	s.SetDown(true)
 	_, err := s.Log.Append(context.Background(), "a", []byte("x"))
 	require.Error(t, err)
-	require.Equal(t, platform.KindUnavailable, platform.KindOf(err))
+	require.Equal(t, fleet.KindUnavailable, fleet.KindOf(err))
 	s.SetDown(false)
 	page, err := s.Log.Read(context.Background(), "a", 0, 10)
 	require.NoError(t, err)
@@ -134,7 +134,7 @@
 	s.SetLossy(true)
 	_, err := s.Log.Append(context.Background(), "a", []byte("x"))
 	require.Error(t, err)
-	require.Equal(t, platform.KindUnknown, platform.KindOf(err))
+	require.Equal(t, fleet.KindUnknown, fleet.KindOf(err))
 	s.SetLossy(false)
 	page, err := s.Log.Read(context.Background(), "a", 0, 10)
 	require.NoError(t, err)
--- a/platform/instance.go
+++ b/fleet/instance.go
@@ -1,4 +1,4 @@
-package platform
+package fleet
 
 // Role tells what a process of the system does.
 type Role uint8
--- a/journal/committer_test.go
+++ b/history/committer_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package history_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 	standin "github.com/lavendervale/lavendervale/standin/platform"
 )
@@ -33,23 +33,23 @@
 	})
 }
 
-func (b *bench) committer() *journal.Committer {
-	c := journal.NewCommitter(journal.CommitterConfig{Log: b.log, Codec: record.NewCodec(), Prefix: "p", Streams: 1})
+func (b *bench) committer() *history.Committer {
+	c := history.NewCommitter(history.CommitterConfig{Log: b.log, Codec: record.NewCodec(), Prefix: "p", Streams: 1})
 	b.work.Go(func() { c.Run(b.ctx) })
 	return c
 }
 
-func rec(id program.ID, epoch uint64, previous journal.RecordID, body journal.Body) journal.Record {
-	return journal.NewRecord(journal.RecordConfig{
-		ID: journal.NewRecordID(), Program: id, Epoch: epoch, Previous: previous,
-		PreviousPosition: journal.NoPosition, Home: "model-1", Time: time.Now(), Body: body,
+func rec(id program.ID, epoch uint64, previous history.RecordID, body history.Body) history.Record {
+	return history.NewRecord(history.RecordConfig{
+		ID: history.NewRecordID(), Program: id, Epoch: epoch, Previous: previous,
+		PreviousPosition: history.NoPosition, Home: "model-1", Time: time.Now(), Body: body,
 	})
 }
 
-func start(t *testing.T, b *bench, c *journal.Committer, key string) (program.ID, journal.RecordID) {
+func start(t *testing.T, b *bench, c *history.Committer, key string) (program.ID, history.RecordID) {
 	t.Helper()
 	config := program.Config{Caller: "c", Key: key, Class: "quote", Budget: 100}
-	r := rec(program.NewID("c", key), 0, journal.RecordID{}, journal.Started(config))
+	r := rec(program.NewID("c", key), 0, history.RecordID{}, history.Started(config))
 	_, err := c.Commit(b.ctx, r)
 	require.NoError(t, err)
 	return r.Program(), r.ID()
@@ -58,35 +58,35 @@
 func TestOrderOfTheLogDecides(t *testing.T) {
 	tests := []struct {
 		name   string
-		first  func(id program.ID, last journal.RecordID) journal.Record
-		second func(id program.ID, last journal.RecordID) journal.Record
+		first  func(id program.ID, last history.RecordID) history.Record
+		second func(id program.ID, last history.RecordID) history.Record
 	}{
 		{
 			name:   "two records after one",
-			first:  func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 0, last, journal.Void()) },
-			second: func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 0, last, journal.Void()) },
+			first:  func(id program.ID, last history.RecordID) history.Record { return rec(id, 0, last, history.Void()) },
+			second: func(id program.ID, last history.RecordID) history.Record { return rec(id, 0, last, history.Void()) },
 		},
 		{
 			name:   "two adopters",
-			first:  func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 1, last, journal.Adopted()) },
-			second: func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 1, last, journal.Adopted()) },
+			first:  func(id program.ID, last history.RecordID) history.Record { return rec(id, 1, last, history.Adopted()) },
+			second: func(id program.ID, last history.RecordID) history.Record { return rec(id, 1, last, history.Adopted()) },
 		},
 		{
 			name:   "an old home after an adoption",
-			first:  func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 1, last, journal.Adopted()) },
-			second: func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 0, last, journal.Void()) },
+			first:  func(id program.ID, last history.RecordID) history.Record { return rec(id, 1, last, history.Adopted()) },
+			second: func(id program.ID, last history.RecordID) history.Record { return rec(id, 0, last, history.Void()) },
 		},
 		{
 			name:  "a second start",
-			first: func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 0, last, journal.Void()) },
-			second: func(id program.ID, _ journal.RecordID) journal.Record {
-				return rec(id, 0, journal.RecordID{}, journal.Started(program.Config{Caller: "c", Key: "k"}))
+			first: func(id program.ID, last history.RecordID) history.Record { return rec(id, 0, last, history.Void()) },
+			second: func(id program.ID, _ history.RecordID) history.Record {
+				return rec(id, 0, history.RecordID{}, history.Started(program.Config{Caller: "c", Key: "k"}))
 			},
 		},
 		{
 			name:   "an epoch too far",
-			first:  func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 0, last, journal.Void()) },
-			second: func(id program.ID, last journal.RecordID) journal.Record { return rec(id, 2, last, journal.Adopted()) },
+			first:  func(id program.ID, last history.RecordID) history.Record { return rec(id, 0, last, history.Void()) },
+			second: func(id program.ID, last history.RecordID) history.Record { return rec(id, 2, last, history.Adopted()) },
 		},
 	}
 	for _, test := range tests {
@@ -98,7 +98,7 @@
 				require.NoError(t, err)
 				_, err = two.Commit(b.ctx, test.second(id, last))
 				require.Error(t, err)
-				require.Equal(t, journal.KindSuperseded, journal.KindOf(err))
+				require.Equal(t, history.KindSuperseded, history.KindOf(err))
 			})
 		})
 	}
@@ -119,7 +119,7 @@
 				id, last := start(t, b, c, "k")
 				b.log.SetFaults(test.fault)
 				done := make(chan error, 1)
-				r := rec(id, 0, last, journal.Void())
+				r := rec(id, 0, last, history.Void())
 				go func() {
 					_, err := c.Commit(b.ctx, r)
 					done <- err
@@ -155,37 +155,37 @@
 		id, last := start(t, b, c, "k")
 		begun, before := time.Now(), b.log.Stats().Appends
 		for time.Since(begun) < 10*time.Second {
-			r := rec(id, 0, last, journal.Void())
+			r := rec(id, 0, last, history.Void())
 			_, err := c.Commit(b.ctx, r)
 			require.NoError(t, err)
 			last = r.ID()
 		}
-		require.LessOrEqual(t, b.log.Stats().Appends-before, int64(10*journal.DefaultAppendRate+8))
+		require.LessOrEqual(t, b.log.Stats().Appends-before, int64(10*history.DefaultAppendRate+8))
 	})
 }
 
 // link stands for the way to the committers of other processes.
 type link struct {
-	to   map[string]*journal.Committer
+	to   map[string]*history.Committer
 	lose bool
 }
 
-func (l *link) Commit(ctx context.Context, instance string, r journal.Record) (journal.Position, error) {
+func (l *link) Commit(ctx context.Context, instance string, r history.Record) (history.Position, error) {
 	c, ok := l.to[instance]
 	if !ok {
-		return journal.NoPosition, journal.Errorf("link", journal.KindUnknown, "instance is gone")
+		return history.NoPosition, history.Errorf("link", history.KindUnknown, "instance is gone")
 	}
 	p, err := c.Commit(ctx, r)
 	if l.lose {
-		return journal.NoPosition, journal.Errorf("link", journal.KindUnknown, "answer lost")
+		return history.NoPosition, history.Errorf("link", history.KindUnknown, "answer lost")
 	}
 	return p, err
 }
 
-func (l *link) Locate(ctx context.Context, instance string, id program.ID) (journal.Tail, error) {
+func (l *link) Locate(ctx context.Context, instance string, id program.ID) (history.Tail, error) {
 	c, ok := l.to[instance]
 	if !ok {
-		return journal.Tail{}, journal.Errorf("link", journal.KindUnknown, "instance is gone")
+		return history.Tail{}, history.Errorf("link", history.KindUnknown, "instance is gone")
 	}
 	return c.Locate(ctx, id)
 }
@@ -212,18 +212,18 @@
 			inBench(t, func(t *testing.T, b *bench) {
 				shared, local := b.committer(), b.committer()
 				id, last := start(t, b, shared, "k")
-				router := journal.NewRouter(journal.RouterConfig{
-					Local: local, Owners: test.owner, Remote: &link{to: map[string]*journal.Committer{"model-1": shared}, lose: test.lose},
+				router := history.NewRouter(history.RouterConfig{
+					Local: local, Owners: test.owner, Remote: &link{to: map[string]*history.Committer{"model-1": shared}, lose: test.lose},
 				})
-				r := rec(id, 0, last, journal.Void())
+				r := rec(id, 0, last, history.Void())
 				_, err := router.Commit(b.ctx, r)
 				require.NoError(t, err)
 				require.Equal(t, test.own, local.Stats().Records)
 				loaded, err := router.Load(b.ctx, id)
 				require.NoError(t, err)
 				require.Equal(t, r.ID(), loaded.Last(), "a record that was sent twice is valid once")
-				_, err = router.Commit(b.ctx, rec(id, 0, last, journal.Void()))
-				require.Equal(t, journal.KindSuperseded, journal.KindOf(err))
+				_, err = router.Commit(b.ctx, rec(id, 0, last, history.Void()))
+				require.Equal(t, history.KindSuperseded, history.KindOf(err))
 			})
 		})
 	}
@@ -235,7 +235,7 @@
 		id, last := start(t, b, c, "k")
 		_, err := b.log.Append(b.ctx, "p-0", []byte("not a batch"))
 		require.NoError(t, err)
-		_, err = c.Commit(b.ctx, rec(id, 0, last, journal.Void()))
+		_, err = c.Commit(b.ctx, rec(id, 0, last, history.Void()))
 		require.NoError(t, err)
 		other := b.committer()
 		_, err = other.Load(b.ctx, id)
--- a/journal/follow.go
+++ b/history/follow.go
@@ -1,9 +1,9 @@
-package journal
+package history
 
 import (
 	"context"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // catchUp reads the stream to its end before the first append, so that the
@@ -54,7 +54,7 @@
 		}
 		page, err := s.config.Log.Read(ctx, s.name, from, readLimit)
 		if err != nil {
-			if platform.KindOf(err) != platform.KindExpired {
+			if fleet.KindOf(err) != fleet.KindExpired {
 				return err
 			}
 			s.skipTo(page.First())
@@ -73,7 +73,7 @@
 	s.next = max(s.next+1, first)
 }
 
-func (s *stream) applyPage(page platform.Page) {
+func (s *stream) applyPage(page fleet.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range page.Entries() {
--- a/journal/ports.go
+++ b/history/ports.go
@@ -1,18 +1,18 @@
-package journal
+package history
 
 import (
 	"context"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // Log is the platform's append-only log.
 type Log interface {
 	// Append adds data to a stream and returns its offset; an error of
-	// platform.KindUnknown means that it may have been added.
+	// fleet.KindUnknown means that it may have been added.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns up to limit entries from an offset on.
-	Read(ctx context.Context, stream string, from int64, limit int) (platform.Page, error)
+	Read(ctx context.Context, stream string, from int64, limit int) (fleet.Page, error)
 }
 
 // Codec turns records into bytes and back.
--- a/journal/tail.go
+++ b/history/tail.go
@@ -1,4 +1,4 @@
-package journal
+package history
 
 import (
 	"github.com/lavendervale/lavendervale/program"
--- a/home/adopt.go
+++ b/home/adopt.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -59,7 +59,7 @@
 	r.last = state.last
 	p.Adopt(p.Epoch() + 1)
 	h.scheduler.register(p, r.class)
-	e := h.writeLocked(r, p.Epoch(), journal.Adopted())
+	e := h.writeLocked(r, p.Epoch(), history.Adopted())
 	s.residents[p.ID()] = r
 	s.mu.Unlock()
 	if err := e.wait(ctx, startCommitWait); err != nil {
@@ -73,22 +73,22 @@
 // adopted is the state of a program that is about to be adopted.
 type adopted struct {
 	program  *program.Program
-	last     journal.RecordID
-	position journal.Position
+	last     history.RecordID
+	position history.Position
 	home     string
-	carried  []journal.Record
+	carried  []history.Record
 }
 
 // load reads a program from the journal and applies what its handle carries
 // beyond that; a start that never reached the journal is carried too.
 func (h *Home) load(ctx context.Context, handle program.Handle) (*adopted, error) {
 	const op = "load program"
-	state := &adopted{position: journal.NoPosition, home: handle.Home()}
+	state := &adopted{position: history.NoPosition, home: handle.Home()}
 	loaded, err := h.config.Journal.Load(ctx, handle.Program())
 	switch {
 	case err == nil:
 		state.program, state.last, state.position, state.home = loaded.Program(), loaded.Last(), loaded.Position(), loaded.Home()
-	case journal.KindOf(err) != journal.KindNotFound || handle.Carried() == "":
+	case history.KindOf(err) != history.KindNotFound || handle.Carried() == "":
 		return nil, loadError(op, err)
 	}
 	if handle.Carried() == "" || h.config.Codec == nil {
@@ -102,12 +102,12 @@
 }
 
 // follow applies the carried records that the journal does not hold.
-func (a *adopted) follow(records []journal.Record) error {
+func (a *adopted) follow(records []history.Record) error {
 	for _, r := range records {
 		if r.Previous() != a.last {
 			continue
 		}
-		next, err := journal.Fold(a.program, r)
+		next, err := history.Fold(a.program, r)
 		if err != nil {
 			return program.Errorf("load program", program.KindInternal, "carried record: %w", err)
 		}
@@ -124,12 +124,12 @@
 // loadError turns an error of the journal into one for the caller.
 func loadError(op string, err error) error {
 	kind := program.KindUnavailable
-	switch journal.KindOf(err) {
-	case journal.KindNotFound:
+	switch history.KindOf(err) {
+	case history.KindNotFound:
 		kind = program.KindNotFound
-	case journal.KindSuperseded:
+	case history.KindSuperseded:
 		kind = program.KindMoved
-	case journal.KindCorrupt:
+	case history.KindCorrupt:
 		kind = program.KindInternal
 	}
 	return elsewhere(op, kind, "", err)
--- a/home/end.go
+++ b/home/end.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -99,7 +99,7 @@
 	r.touched = now
 	r.notifyLocked()
 	h.account(r, state)
-	return h.writeLocked(r, r.program.Epoch(), journal.Finished(state == program.Canceled)), nil
+	return h.writeLocked(r, r.program.Epoch(), history.Finished(state == program.Canceled)), nil
 }
 
 // account counts the end of a program and learns from it.
--- a/home/model.go
+++ b/home/model.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 	"github.com/lavendervale/lavendervale/schedule"
 )
@@ -113,7 +113,7 @@
 		u.survived()
 	}
 	u.home.prefill.observe(a)
-	return u.complete(ctx, a, journal.Turn(call.Messages(), a))
+	return u.complete(ctx, a, history.Turn(call.Messages(), a))
 }
 
 // wholeUsage returns the usage of a call whose last part began after some
--- a/home/order.go
+++ b/home/order.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/order"
 	"github.com/lavendervale/lavendervale/program"
 	"github.com/lavendervale/lavendervale/timer"
@@ -38,7 +38,7 @@
 		reply, err := u.home.config.Services.Run(ctx, instance, u.request(0, 0))
 		if err == nil {
 			a := u.serviceAnswer(reply, instance, false)
-			return u.complete(ctx, a, journal.Turn(nil, a))
+			return u.complete(ctx, a, history.Turn(nil, a))
 		}
 		last = err
 		if k := order.KindOf(err); ctx.Err() != nil || k == order.KindRefused || k == order.KindOverloaded {
@@ -77,13 +77,13 @@
 		Incarnation: incarnation, Attempt: r.program.Attempts() + 1,
 	})
 	r.program.Claim(claim)
-	e := u.home.writeLocked(r, r.program.Epoch(), journal.Claimed(claim))
+	e := u.home.writeLocked(r, r.program.Epoch(), history.Claimed(claim))
 	r.shard.mu.Unlock()
 	err := e.wait(ctx, claimCommitWait)
 	if err == nil {
 		return claim, nil
 	}
-	if journal.KindOf(err) == journal.KindSuperseded {
+	if history.KindOf(err) == history.KindSuperseded {
 		return nil, moved("claim order", r.program.ID())
 	}
 	return nil, unavailable("claim order", program.NotRun, err)
@@ -119,7 +119,7 @@
 		return nil, false
 	}
 	a := program.NewAnswer(program.AnswerConfig{Call: call})
-	return u.home.writeLocked(r, r.program.Epoch(), journal.Settled(program.NotRun, a)), true
+	return u.home.writeLocked(r, r.program.Epoch(), history.Settled(program.NotRun, a)), true
 }
 
 // recover finds out what became of an order that an earlier run claimed.
@@ -142,7 +142,7 @@
 	defer r.shard.mu.Unlock()
 	r.program.Unclaim()
 	a := program.NewAnswer(program.AnswerConfig{Call: u.reservation.Call()})
-	u.home.writeLocked(r, r.program.Epoch(), journal.Settled(program.NotRun, a))
+	u.home.writeLocked(r, r.program.Epoch(), history.Settled(program.NotRun, a))
 }
 
 // settle ends an order by what is known of it; a lost answer is asked for
@@ -150,7 +150,7 @@
 func (u *run) settle(ctx context.Context, claim *program.Claim, reply order.Reply, err error, mayQuery bool) (Result, error) {
 	if err == nil {
 		a := u.serviceAnswer(reply, claim.Instance(), false)
-		return u.complete(ctx, a, journal.Settled(program.Ran, a))
+		return u.complete(ctx, a, history.Settled(program.Ran, a))
 	}
 	switch order.KindOf(err) {
 	case order.KindNotRun, order.KindRefused, order.KindFenced, order.KindOverloaded:
@@ -172,7 +172,7 @@
 		return Result{}, u.refuse(ctx, unavailable("run order", program.NotRun, err))
 	}
 	a := u.serviceAnswer(order.Reply{}, claim.Instance(), true)
-	if _, err := u.complete(ctx, a, journal.Settled(program.InDoubt, a)); err != nil {
+	if _, err := u.complete(ctx, a, history.Settled(program.InDoubt, a)); err != nil {
 		return Result{}, err
 	}
 	u.home.metrics.inDoubt.Add(1)
--- a/home/outbox.go
+++ b/home/outbox.go
@@ -5,16 +5,16 @@
 	"fmt"
 	"time"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
-var errClosed = journal.Errorf("write record", journal.KindUnknown, "home is closed")
+var errClosed = history.Errorf("write record", history.KindUnknown, "home is closed")
 
 // writeLocked writes what happened to a program into its journal.
-func (h *Home) writeLocked(r *resident, epoch uint64, b journal.Body) *entry {
-	record := journal.NewRecord(journal.RecordConfig{
-		ID: journal.NewRecordID(), Program: r.program.ID(), Epoch: epoch, Previous: r.last,
+func (h *Home) writeLocked(r *resident, epoch uint64, b history.Body) *entry {
+	record := history.NewRecord(history.RecordConfig{
+		ID: history.NewRecordID(), Program: r.program.ID(), Epoch: epoch, Previous: r.last,
 		PreviousPosition: r.position, Home: h.config.Name, Time: time.Now(), Body: b,
 	})
 	r.last = record.ID()
@@ -22,7 +22,7 @@
 }
 
 // queueLocked queues a record behind the earlier ones of its program.
-func (h *Home) queueLocked(r *resident, record journal.Record) *entry {
+func (h *Home) queueLocked(r *resident, record history.Record) *entry {
 	e := &entry{record: record, done: make(chan struct{})}
 	r.outbox = append(r.outbox, e)
 	if !r.writing {
@@ -52,7 +52,7 @@
 }
 
 // committed books the fate of the first queued record.
-func (h *Home) committed(r *resident, e *entry, position journal.Position, err error) {
+func (h *Home) committed(r *resident, e *entry, position history.Position, err error) {
 	r.shard.mu.Lock()
 	defer r.shard.mu.Unlock()
 	r.outbox = r.outbox[1:]
@@ -97,9 +97,9 @@
 	case <-e.done:
 		return e.err
 	case <-t.C:
-		return journal.Errorf("wait for record", journal.KindUnavailable, "journal took longer than %v", limit)
+		return history.Errorf("wait for record", history.KindUnavailable, "journal took longer than %v", limit)
 	case <-ctx.Done():
-		return journal.Errorf("wait for record", journal.KindUnavailable, "%w", ctx.Err())
+		return history.Errorf("wait for record", history.KindUnavailable, "%w", ctx.Err())
 	}
 }
 
--- a/home/ports.go
+++ b/home/ports.go
@@ -5,7 +5,7 @@
 
 	"github.com/lavendervale/lavendervale/class"
 	"github.com/lavendervale/lavendervale/configuration"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/order"
 	"github.com/lavendervale/lavendervale/program"
 	"github.com/lavendervale/lavendervale/quarantine"
@@ -23,18 +23,18 @@
 
 // Journal keeps the records of programs.
 type Journal interface {
-	// Commit writes a record, see journal.Committer.
-	Commit(ctx context.Context, r journal.Record) (journal.Position, error)
-	// Load reads the state of a program, see journal.Committer.
-	Load(ctx context.Context, id program.ID) (*journal.Loaded, error)
+	// Commit writes a record, see history.Committer.
+	Commit(ctx context.Context, r history.Record) (history.Position, error)
+	// Load reads the state of a program, see history.Committer.
+	Load(ctx context.Context, id program.ID) (*history.Loaded, error)
 }
 
 // Codec turns records into bytes and back.
 type Codec interface {
 	// Encode returns the bytes of some records.
-	Encode(records []journal.Record) ([]byte, error)
+	Encode(records []history.Record) ([]byte, error)
 	// Decode returns the records of some bytes.
-	Decode(data []byte) ([]journal.Record, error)
+	Decode(data []byte) ([]history.Record, error)
 }
 
 // Crashes keeps the requests that have crashed engines.
--- a/home/rebase.go
+++ b/home/rebase.go
@@ -3,7 +3,7 @@
 import (
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -11,7 +11,7 @@
 // that did not know of its replacement.
 type rebased struct {
 	program *program.Program
-	turns   []journal.Body
+	turns   []history.Body
 }
 
 // rebaseTurns applies the turns that a handle carries on top of a program, when
@@ -44,8 +44,8 @@
 
 // mayRebase reports whether a record holds an answer that a caller can have
 // accepted: a turn, or an order that ran.
-func mayRebase(b journal.Body) bool {
-	return b.Step() == journal.StepTurn || (b.Step() == journal.StepSettled && b.Outcome() == program.Ran)
+func mayRebase(b history.Body) bool {
+	return b.Step() == history.StepTurn || (b.Step() == history.StepSettled && b.Outcome() == program.Ran)
 }
 
 // verifyLocked checks a handle against a program, and takes over the turns
--- a/home/resident.go
+++ b/home/resident.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/lavendervale/lavendervale/class"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -25,8 +25,8 @@
 	shard      *shard
 	program    *program.Program
 	class      *class.Class
-	last       journal.RecordID
-	position   journal.Position
+	last       history.RecordID
+	position   history.Position
 	outbox     []*entry
 	writing    bool
 	lost       bool
@@ -41,14 +41,14 @@
 
 // entry is a record on its way into the journal.
 type entry struct {
-	record journal.Record
+	record history.Record
 	done   chan struct{}
 	err    error
 }
 
 func newResident(s *shard, p *program.Program, c *class.Class) *resident {
 	return &resident{
-		shard: s, program: p, class: c, position: journal.NoPosition, changed: make(chan struct{}), touched: time.Now(),
+		shard: s, program: p, class: c, position: history.NoPosition, changed: make(chan struct{}), touched: time.Now(),
 		whole: time.Now(), wholeTurn: p.Turn(),
 	}
 }
--- a/home/run.go
+++ b/home/run.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -65,7 +65,7 @@
 }
 
 // complete books an answer, writes its record and waits briefly for it.
-func (u *run) complete(ctx context.Context, a program.Answer, body journal.Body) (Result, error) {
+func (u *run) complete(ctx context.Context, a program.Answer, body history.Body) (Result, error) {
 	r := u.resident
 	r.shard.mu.Lock()
 	if r.lost {
@@ -79,7 +79,7 @@
 	e := u.home.writeLocked(r, r.program.Epoch(), body)
 	r.shard.mu.Unlock()
 	err := e.wait(ctx, turnCommitWait)
-	if err != nil && journal.KindOf(err) == journal.KindSuperseded {
+	if err != nil && history.KindOf(err) == history.KindSuperseded {
 		return Result{}, moved("complete call", r.program.ID())
 	}
 	r.shard.mu.Lock()
--- a/home/snapshot.go
+++ b/home/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -23,7 +23,7 @@
 	if !atRest || fresh {
 		return
 	}
-	h.writeLocked(r, r.program.Epoch(), journal.Snapshot(r.program.Snapshot()))
+	h.writeLocked(r, r.program.Epoch(), history.Snapshot(r.program.Snapshot()))
 	r.whole = now
 	r.wholeTurn = r.program.Turn()
 	h.metrics.snapshots.Add(1)
--- a/home/start.go
+++ b/home/start.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/class"
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -92,10 +92,10 @@
 	}
 	r := newResident(s, p, c)
 	s.residents[p.ID()] = r
-	e := h.writeLocked(r, p.Epoch(), journal.Started(p.Config()))
+	e := h.writeLocked(r, p.Epoch(), history.Started(p.Config()))
 	s.mu.Unlock()
 	err := e.wait(ctx, startCommitWait)
-	if err != nil && journal.KindOf(err) == journal.KindSuperseded {
+	if err != nil && history.KindOf(err) == history.KindSuperseded {
 		return h.startedElsewhere(ctx, p.ID())
 	}
 	if err != nil {
@@ -150,7 +150,7 @@
 	if len(r.outbox) == 0 || h.config.Codec == nil {
 		return handle
 	}
-	records := make([]journal.Record, 0, len(r.outbox))
+	records := make([]history.Record, 0, len(r.outbox))
 	for _, e := range r.outbox {
 		records = append(records, e.record)
 	}
--- a/home/transfer.go
+++ b/home/transfer.go
@@ -1,7 +1,7 @@
 package home
 
 import (
-	"github.com/lavendervale/lavendervale/journal"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -25,7 +25,7 @@
 			return 0, nil
 		}
 		back := r.program.SettleChild(t.Child, t.Tokens)
-		h.writeLocked(r, r.program.Epoch(), journal.Unsplit(t.Child, t.Tokens))
+		h.writeLocked(r, r.program.Epoch(), history.Unsplit(t.Child, t.Tokens))
 		return back, nil
 	}
 	if err := h.verifyLocked(r, t.Parent); err != nil {
@@ -34,6 +34,6 @@
 	if err := r.program.Split(t.Child, t.Tokens); err != nil {
 		return 0, err
 	}
-	h.writeLocked(r, r.program.Epoch(), journal.Split(t.Child, t.Tokens))
+	h.writeLocked(r, r.program.Epoch(), history.Split(t.Child, t.Tokens))
 	return t.Tokens, nil
 }
--- a/home/world_test.go
+++ b/home/world_test.go
@@ -14,8 +14,8 @@
 	"github.com/lavendervale/lavendervale/adapter/record"
 	"github.com/lavendervale/lavendervale/class"
 	"github.com/lavendervale/lavendervale/configuration"
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
-	"github.com/lavendervale/lavendervale/journal"
 	"github.com/lavendervale/lavendervale/order"
 	"github.com/lavendervale/lavendervale/program"
 	"github.com/lavendervale/lavendervale/quarantine"
@@ -73,7 +73,7 @@
 
 // home starts a home with an engine and a committer of its own.
 func (w *world) home(name string) (*home.Home, *fakeEngine) {
-	committer := journal.NewCommitter(journal.CommitterConfig{Log: w.log, Codec: record.NewCodec(), Prefix: "p", Streams: 1})
+	committer := history.NewCommitter(history.CommitterConfig{Log: w.log, Codec: record.NewCodec(), Prefix: "p", Streams: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = append(w.cancel, cancel)
 	w.work.Go(func() { committer.Run(ctx) })
--- a/journal/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package journal keeps what must last of each program as records in the
-// platform's log; the order of the log decides between writers.
-package journal
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/lavendervale/lavendervale/configuration"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 // Beat is the heartbeat that an entry sends to an instance, with the news that
@@ -19,12 +19,12 @@
 	// ConfigVersion is the configuration in force at the sender.
 	ConfigVersion int64
 	// Instances are the instances beside services, when the receiver lacks them.
-	Instances []platform.Instance
+	Instances []fleet.Instance
 	// InstancesVersion is the sender's version of them.
 	InstancesVersion uint64
 	// Committers holds the committer of each stream of the journal, when the
 	// receiver lacks them.
-	Committers []platform.Instance
+	Committers []fleet.Instance
 	// CommittersVersion is the sender's version of them.
 	CommittersVersion uint64
 }
@@ -39,14 +39,14 @@
 func (b Beat) ConfigVersion() int64 { return b.config.ConfigVersion }
 
 // Instances returns all instances, or none when the receiver has them.
-func (b Beat) Instances() []platform.Instance { return b.config.Instances }
+func (b Beat) Instances() []fleet.Instance { return b.config.Instances }
 
 // InstancesVersion returns the sender's version of the instances.
 func (b Beat) InstancesVersion() uint64 { return b.config.InstancesVersion }
 
 // Committers returns the committer of each stream, or none when the receiver
 // has them.
-func (b Beat) Committers() []platform.Instance { return b.config.Committers }
+func (b Beat) Committers() []fleet.Instance { return b.config.Committers }
 
 // CommittersVersion returns the sender's version of the committers.
 func (b Beat) CommittersVersion() uint64 { return b.config.CommittersVersion }
--- a/membership/member.go
+++ b/membership/member.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 // State tells what is known of an instance.
@@ -47,7 +47,7 @@
 
 // Member is one instance with what is known of it.
 type Member struct {
-	instance platform.Instance
+	instance fleet.Instance
 	state    State
 	leaving  bool
 	load     placement.Load
@@ -56,7 +56,7 @@
 }
 
 // Instance returns the instance as listed.
-func (m Member) Instance() platform.Instance { return m.instance }
+func (m Member) Instance() fleet.Instance { return m.instance }
 
 // Name returns the name of the instance.
 func (m Member) Name() string { return m.instance.Name() }
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 const (
@@ -17,7 +17,7 @@
 // programs on: all of a small site, else those for which it ranks among the
 // first entries by highest random weight (rendezvous hashing, after Thaler and
 // Ravishankar), so that each endpoint is watched and a change moves little.
-func Subset(entry string, entries []string, endpoints []platform.Instance) []platform.Instance {
+func Subset(entry string, entries []string, endpoints []fleet.Instance) []fleet.Instance {
 	if len(endpoints) <= FullMesh || len(entries) <= watchers {
 		return endpoints
 	}
@@ -26,7 +26,7 @@
 		seeds[i] = xxhash.Sum64String(e)
 	}
 	own := xxhash.Sum64String(entry)
-	var subset []platform.Instance
+	var subset []fleet.Instance
 	for _, endpoint := range endpoints {
 		if before(own, seeds, xxhash.Sum64String(endpoint.Name())) < watchers {
 			subset = append(subset, endpoint)
--- a/membership/subset_test.go
+++ b/membership/subset_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/membership"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 func names(prefix string, n int) []string {
@@ -18,16 +18,16 @@
 	return list
 }
 
-func endpoints(n int) []platform.Instance {
-	var list []platform.Instance
+func endpoints(n int) []fleet.Instance {
+	var list []fleet.Instance
 	for _, name := range names("model", n) {
-		list = append(list, platform.NewInstance(platform.InstanceConfig{Name: name, Role: platform.EngineRole}))
+		list = append(list, fleet.NewInstance(fleet.InstanceConfig{Name: name, Role: fleet.EngineRole}))
 	}
 	return list
 }
 
 // cover counts the entries that watch each endpoint.
-func cover(entries []string, list []platform.Instance) map[string]int {
+func cover(entries []string, list []fleet.Instance) map[string]int {
 	watched := map[string]int{}
 	for _, e := range entries {
 		for _, i := range membership.Subset(e, entries, list) {
--- a/membership/table.go
+++ b/membership/table.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/placement"
-	"github.com/lavendervale/lavendervale/platform"
 )
 
 // Table holds the instances known to a process.
@@ -16,13 +16,13 @@
 	version uint64
 	// services is the version of the instances beside services alone.
 	services uint64
-	roles    map[platform.Role]int
+	roles    map[fleet.Role]int
 	interval time.Duration
 }
 
 // row is what a table keeps of one instance.
 type row struct {
-	instance platform.Instance
+	instance fleet.Instance
 	listed   bool
 	added    time.Time
 	heard    time.Time
@@ -32,12 +32,12 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: map[string]*row{}, interval: firstInterval, roles: map[platform.Role]int{}}
+	return &Table{rows: map[string]*row{}, interval: firstInterval, roles: map[fleet.Role]int{}}
 }
 
 // Update takes over a list of the platform; an empty list changes nothing, and
 // an instance that is not listed stays as long as it answers.
-func (t *Table) Update(list []platform.Instance, now time.Time) {
+func (t *Table) Update(list []fleet.Instance, now time.Time) {
 	if len(list) == 0 {
 		return
 	}
@@ -58,7 +58,7 @@
 	}
 }
 
-func (t *Table) putLocked(i platform.Instance, now time.Time) {
+func (t *Table) putLocked(i fleet.Instance, now time.Time) {
 	r, ok := t.rows[i.Name()]
 	if ok && r.instance == i {
 		r.listed = true
@@ -77,9 +77,9 @@
 }
 
 // bumpLocked books that the set of instances changed.
-func (t *Table) bumpLocked(i platform.Instance) {
+func (t *Table) bumpLocked(i fleet.Instance) {
 	t.version++
-	if i.Role() == platform.ServiceRole {
+	if i.Role() == fleet.ServiceRole {
 		t.services++
 	}
 }
@@ -120,7 +120,7 @@
 }
 
 // Count returns the number of instances of a role.
-func (t *Table) Count(role platform.Role) int {
+func (t *Table) Count(role fleet.Role) int {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.roles[role]
@@ -154,7 +154,7 @@
 func (t *Table) Services(service string, now time.Time) []Member {
 	var list []Member
 	for _, m := range t.Members(now) {
-		if m.Instance().Role() != platform.ServiceRole || m.Instance().Service() != service {
+		if m.Instance().Role() != fleet.ServiceRole || m.Instance().Service() != service {
 			continue
 		}
 		if m.State() != Dead && !m.Leaving() {
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 )
 
 // Instances is the stand-in instance list; it shows changes after a lag.
@@ -20,7 +20,7 @@
 
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance fleet.Instance
 	gone     bool
 }
 
@@ -28,11 +28,11 @@
 func NewInstances(lag time.Duration) *Instances { return &Instances{lag: lag} }
 
 // Add lists an instance, or replaces the one of the same name.
-func (l *Instances) Add(i platform.Instance) { l.note(change{at: time.Now(), instance: i}) }
+func (l *Instances) Add(i fleet.Instance) { l.note(change{at: time.Now(), instance: i}) }
 
 // Remove takes the instance of a name off the list.
 func (l *Instances) Remove(name string) {
-	gone := platform.NewInstance(platform.InstanceConfig{Name: name})
+	gone := fleet.NewInstance(fleet.InstanceConfig{Name: name})
 	l.note(change{at: time.Now(), instance: gone, gone: true})
 }
 
@@ -51,11 +51,11 @@
 }
 
 // Instances returns the list as it was before the lag.
-func (l *Instances) Instances(context.Context) ([]platform.Instance, error) {
+func (l *Instances) Instances(context.Context) ([]fleet.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, platform.Errorf("read instance list", platform.KindUnavailable, "list is down")
+		return nil, fleet.Errorf("read instance list", fleet.KindUnavailable, "list is down")
 	}
 	if l.empty {
 		return nil, nil
@@ -69,8 +69,8 @@
 	l.changes = append(l.changes, c)
 }
 
-func (l *Instances) asOf(at time.Time) []platform.Instance {
-	byName := map[string]platform.Instance{}
+func (l *Instances) asOf(at time.Time) []fleet.Instance {
+	byName := map[string]fleet.Instance{}
 	for _, c := range l.changes {
 		if c.at.After(at) {
 			continue
@@ -81,7 +81,7 @@
 		}
 		byName[c.instance.Name()] = c.instance
 	}
-	list := make([]platform.Instance, 0, len(byName))
+	list := make([]fleet.Instance, 0, len(byName))
 	for _, i := range byName {
 		list = append(list, i)
 	}
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/timer"
 )
 
@@ -21,7 +21,7 @@
 
 type stream struct {
 	first   int64
-	entries []platform.Entry
+	entries []fleet.Entry
 }
 
 // LogFaults makes the log misbehave.
@@ -70,39 +70,39 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return 0, platform.Errorf(op, platform.KindUnavailable, "log is down")
+		return 0, fleet.Errorf(op, fleet.KindUnavailable, "log is down")
 	}
 	s := l.streamLocked(name)
 	offset := s.first + int64(len(s.entries))
-	s.entries = append(s.entries, platform.NewEntry(offset, append([]byte(nil), data...), time.Now()))
+	s.entries = append(s.entries, fleet.NewEntry(offset, append([]byte(nil), data...), time.Now()))
 	l.appends++
 	l.bytes += int64(len(data))
 	if l.faults.LoseAnswers {
-		return 0, platform.Errorf(op, platform.KindUnknown, "answer was lost")
+		return 0, fleet.Errorf(op, fleet.KindUnknown, "answer was lost")
 	}
 	return offset, nil
 }
 
 // Read returns up to limit entries of a stream from an offset on.
-func (l *Log) Read(ctx context.Context, name string, from int64, limit int) (platform.Page, error) {
+func (l *Log) Read(ctx context.Context, name string, from int64, limit int) (fleet.Page, error) {
 	const op = "read log"
 	if err := l.delay(ctx, op); err != nil {
-		return platform.Page{}, err
+		return fleet.Page{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return platform.Page{}, platform.Errorf(op, platform.KindUnavailable, "log is down")
+		return fleet.Page{}, fleet.Errorf(op, fleet.KindUnavailable, "log is down")
 	}
 	l.reads++
 	s := l.streamLocked(name)
 	next := s.first + int64(len(s.entries))
 	start := min(max(from, s.first), next)
 	end := min(start+int64(limit), next)
-	entries := append([]platform.Entry(nil), s.entries[start-s.first:end-s.first]...)
-	page := platform.NewPage(s.first, next, entries)
+	entries := append([]fleet.Entry(nil), s.entries[start-s.first:end-s.first]...)
+	page := fleet.NewPage(s.first, next, entries)
 	if from < s.first {
-		return page, platform.Errorf(op, platform.KindExpired, "offset %d is older than %d", from, s.first)
+		return page, fleet.Errorf(op, fleet.KindExpired, "offset %d is older than %d", from, s.first)
 	}
 	return page, nil
 }
@@ -113,7 +113,7 @@
 	defer l.mu.Unlock()
 	s := l.streamLocked(name)
 	n := min(max(0, before-s.first), int64(len(s.entries)))
-	s.entries = append([]platform.Entry(nil), s.entries[n:]...)
+	s.entries = append([]fleet.Entry(nil), s.entries[n:]...)
 	s.first += n
 }
 
@@ -141,7 +141,7 @@
 		return nil
 	}
 	if err := timer.Sleep(ctx, d); err != nil {
-		return platform.Errorf(op, platform.KindUnknown, "%w", err)
+		return fleet.Errorf(op, fleet.KindUnknown, "%w", err)
 	}
 	return nil
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -9,7 +9,7 @@
 	"strconv"
 
 	adapter "github.com/lavendervale/lavendervale/adapter/platform"
-	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/fleet"
 	"github.com/lavendervale/lavendervale/standin/web"
 )
 
@@ -68,14 +68,14 @@
 		limit = defaultLimit
 	}
 	page, err := s.log.Read(r.Context(), r.PathValue("stream"), from, limit)
-	if err != nil && platform.KindOf(err) != platform.KindExpired {
+	if err != nil && fleet.KindOf(err) != fleet.KindExpired {
 		writeError(w, err)
 		return
 	}
 	writeJSON(w, readReply(page))
 }
 
-func readReply(page platform.Page) adapter.ReadReply {
+func readReply(page fleet.Page) adapter.ReadReply {
 	reply := adapter.ReadReply{First: page.First(), Next: page.Next(), Entries: []adapter.EntryMessage{}}
 	for _, e := range page.Entries() {
 		reply.Entries = append(reply.Entries, adapter.EntryMessage{Offset: e.Offset(), Data: e.Data(), Time: e.Time()})
@@ -105,12 +105,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	role, err := platform.ParseRole(m.Role)
+	role, err := fleet.ParseRole(m.Role)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.instances.Add(platform.NewInstance(platform.InstanceConfig{
+	s.instances.Add(fleet.NewInstance(fleet.InstanceConfig{
 		Name: r.PathValue("name"), Address: m.Address, Domain: m.Domain, Role: role, Service: m.Service, Leaving: m.Leaving,
 	}))
 	w.WriteHeader(http.StatusNoContent)
@@ -128,7 +128,7 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
-	if platform.KindOf(err) == platform.KindUnavailable {
+	if fleet.KindOf(err) == fleet.KindUnavailable {
 		status = http.StatusServiceUnavailable
 	}
 	http.Error(w, err.Error(), status)
