Split frames and sessions from the peer protocol

Fronts will speak a second protocol over the same framing and the same multiplexed connections; both now stand in packages of their own.

--- /dev/null
+++ b/adapter/frame/doc.go
@@ -0,0 +1,2 @@
+// Package frame writes and reads protobuf messages with their length before them.
+package frame
--- /dev/null
+++ b/adapter/frame/frame_test.go
@@ -0,0 +1,47 @@
+package frame_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavendervale/lavendervale/adapter/frame"
+	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
+)
+
+func TestFramesPass(t *testing.T) {
+	var wire bytes.Buffer
+	w := frame.NewWriter(&wire)
+	texts := []string{"", "a", string(make([]byte, 200_000)), "after"}
+	for _, text := range texts {
+		require.NoError(t, w.Write(&peerpb.Reply{Text: []byte(text)}))
+	}
+	r := frame.NewReader(&wire)
+	reply := &peerpb.Reply{}
+	for _, text := range texts {
+		require.NoError(t, r.Read(reply))
+		require.Equal(t, text, string(reply.GetText()))
+	}
+	require.ErrorIs(t, r.Read(reply), io.EOF)
+}
+
+func TestFrameReaderRefuses(t *testing.T) {
+	long := binary.BigEndian.AppendUint32(nil, frame.MaxBytes+1)
+	cut := binary.BigEndian.AppendUint32(nil, 10)
+	tests := []struct {
+		name string
+		data []byte
+	}{
+		{name: "too long", data: long},
+		{name: "cut", data: append(cut, 1, 2)},
+		{name: "not a message", data: []byte{0, 0, 0, 2, 0xff, 0xff}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Error(t, frame.NewReader(bytes.NewReader(test.data)).Read(&peerpb.Request{}))
+		})
+	}
+}
--- a/adapter/peer/answer.go
+++ b/adapter/peer/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/lavendervale/lavendervale/adapter/convert"
+	"github.com/lavendervale/lavendervale/adapter/frame"
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
 	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
@@ -15,7 +16,7 @@
 // answerer writes the answer to one request.
 type answerer struct {
 	server *Server
-	out    *frameWriter
+	out    *frame.Writer
 	text   peerpb.Reply
 }
 
@@ -24,9 +25,9 @@
 func (a *answerer) answer(ctx context.Context, r *peerpb.Request) error {
 	reply, err := a.run(ctx, r)
 	if err != nil {
-		return a.out.write(&peerpb.Reply{Body: &peerpb.Reply_Fault{Fault: a.fault(err)}})
+		return a.out.Write(&peerpb.Reply{Body: &peerpb.Reply_Fault{Fault: a.fault(err)}})
 	}
-	return a.out.write(reply)
+	return a.out.Write(reply)
 }
 
 func (a *answerer) fault(err error) *peerpb.Fault {
@@ -104,7 +105,7 @@
 // sendText writes a piece of text; one message serves all pieces.
 func (a *answerer) sendText(text []byte) error {
 	a.text.Text = text
-	return a.out.write(&a.text)
+	return a.out.Write(&a.text)
 }
 
 func (a *answerer) end(ctx context.Context, h Home, m *peerpb.End) (*peerpb.Reply, error) {
--- a/adapter/peer/commit.go
+++ b/adapter/peer/commit.go
@@ -56,7 +56,7 @@
 	}
 	defer x.close()
 	reply := &peerpb.Reply{}
-	if err := x.reader.read(reply); err != nil {
+	if err := x.reader.Read(reply); err != nil {
 		return nil, history.Errorf(op, history.KindUnknown, "%w", err)
 	}
 	if f := reply.GetFault(); f != nil {
--- a/adapter/peer/pool.go
+++ b/adapter/peer/pool.go
@@ -2,39 +2,20 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"sync"
-	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
 
+	"github.com/lavendervale/lavendervale/adapter/frame"
+	"github.com/lavendervale/lavendervale/adapter/session"
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
 	"github.com/lavendervale/lavendervale/program"
 )
 
-const (
-	dialTimeout = time.Second
-	// keepAliveInterval and writeTimeout bound how long a connection can be
-	// silent before it is given up.
-	keepAliveInterval = time.Second
-	writeTimeout      = 1500 * time.Millisecond
-	// idleTime is how long a session without requests is kept, and idleCheck the
-	// time between two searches for such sessions.
-	idleTime  = 10 * time.Second
-	idleCheck = time.Second
-	// windowBytes is the receive window of one stream.
-	windowBytes = 1 << 20
-)
-
-// Pool keeps one session to each process it has spoken to.
+// Pool asks other processes over one session each.
 type Pool struct {
-	config PoolConfig
-	mu     sync.Mutex
-	links  map[string]*link
-	closed bool
-	done   chan struct{}
+	name     string
+	sessions *session.Pool
 }
 
 // PoolConfig describes a Pool.
@@ -45,110 +26,24 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-// link is the session to one address; mu guards dialing.
-type link struct {
-	mu      sync.Mutex
-	session *yamux.Session
-	used    time.Time
-}
-
 // NewPool returns a pool without sessions.
 func NewPool(c PoolConfig) *Pool {
-	if c.Dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
-	}
-	p := &Pool{config: c, links: map[string]*link{}, done: make(chan struct{})}
-	go p.clean()
-	return p
-}
-
-// clean ends the sessions that have carried no request for some time, so that
-// only those in use are kept alive.
-func (p *Pool) clean() {
-	t := time.NewTicker(idleCheck)
-	defer t.Stop()
-	for {
-		select {
-		case <-p.done:
-			return
-		case now := <-t.C:
-			p.closeIdle(now)
-		}
-	}
-}
-
-func (p *Pool) closeIdle(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, l := range p.links {
-		if l.idle(now) {
-			delete(p.links, address)
-			l.close()
-		}
-	}
-}
-
-// idle reports whether the session carries no request and has not for a while;
-// one that is being dialed is not idle.
-func (l *link) idle(now time.Time) bool {
-	if !l.mu.TryLock() {
-		return false
-	}
-	defer l.mu.Unlock()
-	if now.Sub(l.used) < idleTime {
-		return false
-	}
-	return l.session == nil || l.session.NumStreams() == 0
+	return &Pool{name: c.Name, sessions: session.New(session.Config{Dial: c.Dial})}
 }
 
 // Close ends all sessions.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	if !p.closed {
-		close(p.done)
-	}
-	p.closed = true
-	links := p.links
-	p.links = map[string]*link{}
-	p.mu.Unlock()
-	for _, l := range links {
-		l.close()
-	}
-}
+func (p *Pool) Close() { p.sessions.Close() }
 
 // Forget ends the session to an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	l, ok := p.links[address]
-	delete(p.links, address)
-	p.mu.Unlock()
-	if ok {
-		l.close()
-	}
-}
+func (p *Pool) Forget(address string) { p.sessions.Forget(address) }
 
 // Sessions returns the number of addresses with a session.
-func (p *Pool) Sessions() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.links)
-}
-
-func (l *link) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.session != nil {
-		_ = l.session.Close()
-	}
-}
+func (p *Pool) Sessions() int { return p.sessions.Sessions() }
 
 // exchange is one request under way.
 type exchange struct {
 	stream *yamux.Stream
-	reader *frameReader
+	reader *frame.Reader
 	stop   func() bool
 }
 
@@ -156,86 +51,23 @@
 // nothing was sent.
 func (p *Pool) open(ctx context.Context, address string, req *peerpb.Request) (*exchange, error) {
 	const op = "reach instance"
-	stream, err := p.stream(ctx, address)
+	stream, err := p.sessions.Open(ctx, address)
 	if err != nil {
 		return nil, linkError(op, program.NotRun, err)
 	}
-	req.From = p.config.Name
-	if err := newFrameWriter(stream).write(req); err != nil {
+	req.From = p.name
+	if err := frame.NewWriter(stream).Write(req); err != nil {
 		_ = stream.Close()
 		return nil, linkError(op, program.InDoubt, err)
 	}
-	x := &exchange{stream: stream, reader: newFrameReader(stream)}
-	x.stop = context.AfterFunc(ctx, func() { hangUp(stream) })
+	x := &exchange{stream: stream, reader: frame.NewReader(stream)}
+	x.stop = context.AfterFunc(ctx, func() { session.HangUp(stream) })
 	return x, nil
 }
 
-// hangUp ends a stream in both directions.
-func hangUp(stream *yamux.Stream) {
-	_ = stream.SetReadDeadline(time.Now())
-	_ = stream.Close()
-}
-
-// stream opens a stream to an address, over a new session when needed.
-func (p *Pool) stream(ctx context.Context, address string) (*yamux.Stream, error) {
-	l, err := p.link(address)
-	if err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.used = time.Now()
-	if l.session != nil {
-		stream, err := l.session.OpenStream()
-		if err == nil {
-			return stream, nil
-		}
-		_ = l.session.Close()
-		l.session = nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := p.config.Dial(ctx, address)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	session, err := yamux.Client(conn, sessionConfig())
-	if err != nil {
-		_ = conn.Close()
-		return nil, trace.Wrap(err)
-	}
-	l.session = session
-	stream, err := session.OpenStream()
-	return stream, trace.Wrap(err)
-}
-
-func (p *Pool) link(address string) (*link, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return nil, trace.ConnectionProblem(nil, "pool is closed")
-	}
-	l, ok := p.links[address]
-	if !ok {
-		l = &link{used: time.Now()}
-		p.links[address] = l
-	}
-	return l, nil
-}
-
-func sessionConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAliveInterval
-	c.ConnectionWriteTimeout = writeTimeout
-	c.StreamOpenTimeout = 0
-	c.MaxStreamWindowSize = windowBytes
-	c.LogOutput = io.Discard
-	return c
-}
-
 // next reads the next reply; a fault becomes its error.
 func (x *exchange) next(reply *peerpb.Reply) error {
-	if err := x.reader.read(reply); err != nil {
+	if err := x.reader.Read(reply); err != nil {
 		return linkError("read answer", program.InDoubt, err)
 	}
 	if f := reply.GetFault(); f != nil {
@@ -247,7 +79,7 @@
 // nextText reads the next reply of a stream of text; it returns nil when the
 // reply is no text but the result.
 func (x *exchange) nextText(reply *peerpb.Reply) ([]byte, error) {
-	text, err := x.reader.readReply(reply)
+	text, err := readReply(x.reader, reply)
 	if err != nil {
 		return nil, linkError("read answer", program.InDoubt, err)
 	}
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -9,6 +9,8 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 
+	"github.com/lavendervale/lavendervale/adapter/frame"
+	"github.com/lavendervale/lavendervale/adapter/session"
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
 	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
@@ -102,7 +104,7 @@
 func (s *Server) Wait() { s.active.Wait() }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(conn, session.Options())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -134,7 +136,7 @@
 	defer stream.Close()
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	request := &peerpb.Request{}
-	if err := newFrameReader(stream).read(request); err != nil {
+	if err := frame.NewReader(stream).Read(request); err != nil {
 		s.config.Log.Debug("request can't be read", zap.Error(err))
 		return
 	}
@@ -146,7 +148,7 @@
 		var one [1]byte
 		_, _ = stream.Read(one[:])
 	}()
-	a := &answerer{server: s, out: newFrameWriter(stream)}
+	a := &answerer{server: s, out: frame.NewWriter(stream)}
 	if err := a.answer(ctx, request); err != nil {
 		s.config.Log.Debug("answer can't be written", zap.Error(err))
 	}
--- a/adapter/peer/services.go
+++ b/adapter/peer/services.go
@@ -84,7 +84,7 @@
 	}
 	defer x.close()
 	reply := &peerpb.Reply{}
-	if err := x.reader.read(reply); err != nil {
+	if err := x.reader.Read(reply); err != nil {
 		return order.Reply{}, order.Errorf(op, order.KindInDoubt, "%w", err)
 	}
 	if f := reply.GetFault(); f != nil {
--- /dev/null
+++ b/api/mesh/v1/doc.go
@@ -0,0 +1,2 @@
+// Package meshv1 holds the generated protocol between fronts.
+package meshv1
--- /dev/null
+++ b/endpoint/health.go
@@ -0,0 +1,36 @@
+package endpoint
+
+import "time"
+
+const (
+	// failureLimit is the number of failures in a row that puts an endpoint aside;
+	// two happen to any endpoint that loses an answer now and then.
+	failureLimit = 3
+	// firstRest and maxRest bound how long an endpoint that failed gets no
+	// requests; the time doubles with each failed trial.
+	firstRest = 500 * time.Millisecond
+	maxRest   = 4 * time.Second
+	// maxRestingShare bounds the endpoints of a service put aside at once.
+	maxRestingShare = 0.5
+)
+
+// health is what this instance's own requests have shown of an endpoint.
+type health struct {
+	failures int
+	rest     time.Duration
+	until    time.Time
+}
+
+func (h *health) succeed() { *h = health{} }
+
+// fail counts a failure; a refused connection puts the endpoint aside at once.
+func (h *health) fail(now time.Time, unreachable bool) {
+	h.failures++
+	if h.failures < failureLimit && !unreachable {
+		return
+	}
+	h.rest = min(maxRest, max(firstRest, 2*h.rest))
+	h.until = now.Add(h.rest)
+}
+
+func (h *health) resting(now time.Time) bool { return now.Before(h.until) }
--- /dev/null
+++ b/endpoint/load.go
@@ -0,0 +1,87 @@
+package endpoint
+
+import "time"
+
+// reportLifetime is how long the load report of another instance counts; a few
+// reports may be lost.
+const reportLifetime = 1500 * time.Millisecond
+
+// Load is what an instance has running at an endpoint.
+type Load struct {
+	// Endpoint is the Key of the endpoint.
+	Endpoint uint64
+	// Running is the number of requests.
+	Running int
+}
+
+// Loads returns what this instance has running.
+func (d *Directory) Loads() []Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Load
+	for _, e := range d.byID {
+		if e.running > 0 {
+			out = append(out, Load{Endpoint: e.key, Running: e.running})
+		}
+	}
+	return out
+}
+
+// Report takes over what another instance has running.
+func (d *Directory) Report(from string, loads []Load, now time.Time) {
+	m := make(map[uint64]int, len(loads))
+	for _, l := range loads {
+		m[l.Endpoint] = l.Running
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports[from] = report{at: now, loads: m}
+	d.countOthers(now)
+	d.wake()
+}
+
+// countOthers adds up the reports; mu is held.
+func (d *Directory) countOthers(now time.Time) {
+	sums := map[uint64]int{}
+	for from, r := range d.reports {
+		if now.Sub(r.at) > reportLifetime {
+			delete(d.reports, from)
+			continue
+		}
+		for key, n := range r.loads {
+			sums[key] += n
+		}
+	}
+	for _, e := range d.byID {
+		e.others = sums[e.key]
+	}
+}
+
+// Done notes that a request has left an endpoint.
+func (d *Directory) Done(t Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.byID[t.ID()]; ok && e.running > 0 {
+		e.running--
+		d.wake()
+	}
+}
+
+// Succeeded notes a good answer of an endpoint.
+func (d *Directory) Succeeded(t Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.byID[t.ID()]; ok {
+		e.health.succeed()
+	}
+}
+
+// Failed notes that an endpoint failed; unreachable is set when no connection
+// could be made.
+func (d *Directory) Failed(t Target, unreachable bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.byID[t.ID()]; ok {
+		e.health.fail(now, unreachable)
+	}
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,342 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/route"
+	"github.com/lavendervale/lavendervale/turn"
+)
+
+const (
+	// depthEngine is how many requests beyond its slots an engine may hold; the
+	// engine orders them by priority itself.
+	depthEngine = 3
+	// affinity is how many more requests the endpoint that holds the conversation
+	// may have than the least busy one.
+	affinity = 2.5
+	// settleTimeout bounds the record of a turn whose caller has its answer.
+	settleTimeout = 8 * time.Second
+	// maxPriority is the last priority of engines.
+	maxPriority = 9
+	// priorityStep is the distance between the priorities of two ranks.
+	priorityStep = 2
+)
+
+// stream serves a request whose answer is a stream of events.
+func (c *call) stream(ctx context.Context, w Responder) {
+	ticket, err := c.begin(ctx)
+	if err != nil {
+		c.refuseTurn(ctx, w, err)
+		return
+	}
+	s := &streaming{call: c, ticket: ticket, out: w, last: c.request.LastEvent}
+	whole := s.run(ctx)
+	c.settle(s, whole)
+}
+
+// begin admits the turn.
+func (c *call) begin(ctx context.Context) (turn.Ticket, error) {
+	r := c.request
+	if !c.tracked() {
+		return freeTicket{}, nil
+	}
+	t, err := c.Ledger.Begin(ctx, turn.BeginRequest{
+		Program: c.program(), Session: r.Session, Attempt: r.ID, Previous: c.previous(), Budget: r.Budget, Tokens: r.MaxTokens,
+	})
+	c.begun = err == nil
+	return t, err
+}
+
+// tracked reports whether the turn has a state that outlives it.
+func (c *call) tracked() bool {
+	return c.route.Stateful() || c.request.Budget > 0
+}
+
+// previous returns the turn to continue on routes where the system keeps turns.
+func (c *call) previous() string {
+	if c.route.Stateful() {
+		return c.request.Previous
+	}
+	return ""
+}
+
+// program returns what the state of the turn is found by.
+func (c *call) program() string {
+	if c.request.Program != "" {
+		return c.request.Program
+	}
+	return c.request.ID
+}
+
+// refuseTurn answers a turn that was not admitted.
+func (c *call) refuseTurn(ctx context.Context, w Responder, err error) {
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		w.Abort()
+		c.Metrics.left(c)
+		c.log("caller left", 0, err.Error())
+	case turn.KindOf(err) == turn.KindBudget:
+		c.refuse(c, w, Refusal{Status: http.StatusPaymentRequired, Reason: err.Error()})
+	case turn.KindOf(err) == turn.KindNotFound:
+		c.refuse(c, w, Refusal{Status: http.StatusNotFound, Reason: err.Error()})
+	default:
+		c.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, RetryAfter: c.retryAfter(), Reason: err.Error()})
+	}
+}
+
+// settle records how the turn ended; a whole turn is durable before its answer ends.
+func (c *call) settle(s *streaming, whole bool) {
+	if !c.begun {
+		if whole {
+			s.out.Finish()
+			c.finished()
+		}
+		return
+	}
+	r := turn.EndRequest{
+		Program: c.program(), Session: c.request.Session, Attempt: c.request.ID, Tokens: s.tokens, Endpoint: c.target.ID(),
+	}
+	if whole && c.route.Stateful() {
+		r.Keep = &turn.Keep{Previous: c.previous(), Text: s.text(), RetentionMS: c.route.Retention().Milliseconds()}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	err := c.Ledger.End(ctx, r)
+	if err != nil {
+		c.Logger.Error("turn can't be recorded", zap.String("request", c.request.ID), zap.String("program", r.Program), zap.Error(err))
+	}
+	if !whole {
+		return
+	}
+	if err != nil && r.Keep != nil {
+		s.out.Abort()
+		c.Metrics.broken(c)
+		c.log("cut off", 0, "turn can't be recorded: "+err.Error())
+		return
+	}
+	s.out.Finish()
+	c.finished()
+}
+
+func (c *call) finished() {
+	c.Metrics.served(c, http.StatusOK)
+	c.log("answered", http.StatusOK, "")
+}
+
+// streaming is a stream under way.
+type streaming struct {
+	*call
+	ticket  turn.Ticket
+	out     Responder
+	last    string
+	started bool
+	output  []byte
+	tokens  int64
+}
+
+// text returns what the turn adds to the conversation.
+func (s *streaming) text() []byte {
+	return append(append(make([]byte, 0, len(s.request.Body)+len(s.output)), s.request.Body...), s.output...)
+}
+
+// run passes a stream on and reports whether it came to its whole end.
+func (s *streaming) run(ctx context.Context) bool {
+	for {
+		if err := s.acquire(ctx, s.query(), s.order()); err != nil {
+			s.fail(ctx, err)
+			return false
+		}
+		err := s.pass(ctx)
+		s.Directory.Done(s.target)
+		switch {
+		case err == nil:
+			s.Directory.Succeeded(s.target)
+			return true
+		case errors.Is(err, errRefused):
+			s.exclude()
+			continue
+		case errors.Is(err, errAnswered):
+			return false
+		case errors.Is(err, errCaller):
+			s.out.Abort()
+			s.Metrics.left(s.call)
+			s.log("caller left", 0, err.Error())
+			return false
+		}
+		if ctx.Err() == nil {
+			s.failed(err)
+		}
+		s.exclude()
+		if notRun(err) {
+			continue
+		}
+		s.sent = true
+		if ctx.Err() != nil || !s.mayResume() {
+			s.fail(ctx, err)
+			return false
+		}
+	}
+}
+
+// mayResume reports whether the stream may go on at another endpoint.
+func (s *streaming) mayResume() bool {
+	if s.route.Repeat() != route.Resumable {
+		return false
+	}
+	return s.attempts < s.route.MaxAttempts() || !s.Directory.Usable(s.target, time.Now())
+}
+
+// fail ends a stream that can't be served.
+func (s *streaming) fail(ctx context.Context, err error) {
+	if !s.started {
+		s.giveUp(ctx, s.out, err, err)
+		return
+	}
+	s.out.Abort()
+	s.Metrics.broken(s.call)
+	s.log("cut off", 0, err.Error())
+}
+
+// Errors that end an attempt at an endpoint besides failures.
+var (
+	errRefused  = errors.New("endpoint did not run the request")
+	errAnswered = errors.New("request has its final answer")
+	errCaller   = errors.New("caller does not read its stream")
+)
+
+// pass sends the request to the target and passes its events on; it returns nil
+// after the last event of a whole stream.
+func (s *streaming) pass(ctx context.Context) error {
+	s.attempts++
+	a, err := s.Endpoints.Send(ctx, s.target, Dispatch{
+		Request: s.request, Context: s.ticket.Text(), Deadline: s.deadline, Priority: s.priority(), LastEvent: s.last,
+	})
+	if err != nil {
+		if notRun(err) {
+			s.attempts--
+		}
+		return err
+	}
+	defer a.Close()
+	if a.NotRun() {
+		s.attempts--
+		return errRefused
+	}
+	if !a.Stream() {
+		return s.passWhole(a)
+	}
+	return s.passEvents(ctx, a)
+}
+
+// passWhole passes an answer on that is no stream, such as an endpoint's failure.
+func (s *streaming) passWhole(a Answer) error {
+	body, err := a.Body()
+	if err != nil {
+		return err
+	}
+	s.sent = true
+	if s.started {
+		return Errorf("resume stream", KindBroken, "endpoint answered with status %d", a.Status())
+	}
+	s.out.Whole(a.Status(), a.Header(), body)
+	s.Metrics.served(s.call, a.Status())
+	s.log("answered", a.Status(), "")
+	return errAnswered
+}
+
+func (s *streaming) passEvents(ctx context.Context, a Answer) error {
+	for {
+		e, err := a.Next()
+		if err == io.EOF {
+			return s.end(a)
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.open(ctx, a); err != nil {
+			return err
+		}
+		if err := s.out.Event(e.Raw); err != nil {
+			return errors.Join(errCaller, err)
+		}
+		s.count(e)
+	}
+}
+
+// end ends a stream that came whole; one without any event has a head only.
+func (s *streaming) end(a Answer) error {
+	if s.started {
+		return nil
+	}
+	return Errorf("read stream", KindBroken, "stream with status %d ended without an event", a.Status())
+}
+
+// open sends the head of the stream, once the attempt is on record.
+func (s *streaming) open(ctx context.Context, a Answer) error {
+	if s.started {
+		return nil
+	}
+	s.sent = true
+	if err := s.ticket.Wait(ctx); err != nil {
+		s.refuse(s.call, s.out, Refusal{Status: http.StatusBadGateway, Reason: "turn could not be recorded: " + err.Error()})
+		return errAnswered
+	}
+	s.first = time.Since(s.request.Arrived)
+	s.started = true
+	if err := s.out.Start(a.Status(), a.Header()); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+// count books an event that the caller has.
+func (s *streaming) count(e Event) {
+	if e.Empty {
+		return
+	}
+	s.events++
+	if e.ID != "" {
+		s.last = e.ID
+	}
+	s.output = append(append(s.output, e.Data...), '\n')
+	s.tokens += s.eventTokens()
+}
+
+// eventTokens returns how many tokens an event stands for.
+func (s *streaming) eventTokens() int64 {
+	service, ok := s.table.Service(s.service)
+	if !ok || service.Engine == nil {
+		return 1
+	}
+	return max(1, service.Engine.EventTokens)
+}
+
+func (s *streaming) query() endpoint.Query {
+	return endpoint.Query{
+		Service: s.service, Depth: depthEngine, Near: s.Domain, Prefer: s.ticket.Endpoint(), PreferWorth: affinity, Avoid: s.avoid,
+	}
+}
+
+// priority returns the order of the request inside an engine.
+func (s *streaming) priority() int {
+	return min(maxPriority, 1+priorityStep*s.route.Rank())
+}
+
+// freeTicket admits a turn without a state.
+type freeTicket struct{}
+
+// Text returns nothing: the request holds its whole prompt.
+func (freeTicket) Text() []byte { return nil }
+
+// Endpoint returns no endpoint.
+func (freeTicket) Endpoint() string { return "" }
+
+// Wait returns at once.
+func (freeTicket) Wait(context.Context) error { return nil }
--- /dev/null
+++ b/route/doc.go
@@ -0,0 +1,2 @@
+// Package route finds the service and the limits of a request by host and path.
+package route
--- /dev/null
+++ b/turn/shard.go
@@ -0,0 +1,378 @@
+package turn
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	turnpb "github.com/lavendervale/lavendervale/api/turn/v1"
+	"github.com/lavendervale/lavendervale/timer"
+)
+
+const (
+	// maxBatchBytes bounds the records of one append; the platform takes 2 MiB.
+	maxBatchBytes = 1 << 20
+	// retryPause is the wait after an append that failed.
+	retryPause = 20 * time.Millisecond
+	// maxRetryPause bounds the wait as failures go on.
+	maxRetryPause = 150 * time.Millisecond
+	// wholeAge is the age from which a conversation is written whole again, so that
+	// its records may be trimmed.
+	wholeAge = 90 * time.Second
+	// trimAge is the age from which records are dropped.
+	trimAge = 240 * time.Second
+)
+
+// shard is one part of the log with its fold.
+type shard struct {
+	number int
+	homes  *Homes
+
+	mu        sync.Mutex
+	state     *state
+	next      int64
+	loaded    bool
+	pending   []*operation
+	byNumber  map[uint64]*operation
+	reserved  map[string]int64
+	sessions  map[string]string
+	foreign   map[string][]byte
+	running   bool
+	used      time.Time
+	confirmed time.Time
+	marks     []mark
+	reading   sync.Mutex
+}
+
+// mark remembers when an offset was written, for trimming.
+type mark struct {
+	offset int64
+	at     time.Time
+}
+
+// operation is a record on its way to the log.
+type operation struct {
+	number  uint64
+	record  *turnpb.Record
+	encoded []byte
+	program string
+	tokens  int64
+	budget  int64
+	kept    bool
+	done    chan struct{}
+	err     error
+}
+
+func newShard(h *Homes, number int) *shard {
+	return &shard{
+		homes: h, number: number, state: newState(), byNumber: map[uint64]*operation{}, reserved: map[string]int64{},
+		sessions: map[string]string{}, foreign: map[string][]byte{},
+	}
+}
+
+// refresh reads the log to its end.
+func (s *shard) refresh(ctx context.Context) error {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	for {
+		s.mu.Lock()
+		from := s.next
+		s.mu.Unlock()
+		page, err := s.homes.config.Log.Read(ctx, s.number, from)
+		if KindOf(err) == KindExpired && err != nil {
+			s.mu.Lock()
+			s.next = max(s.next, page.First)
+			s.mu.Unlock()
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		s.take(from, page.Records)
+		end := s.next >= page.End
+		if end {
+			s.confirmed = time.Now()
+		}
+		s.mu.Unlock()
+		if end {
+			return nil
+		}
+	}
+}
+
+// load reads the shard for the first time, with what other instances hold of it.
+func (s *shard) load(ctx context.Context) error {
+	s.mu.Lock()
+	loaded := s.loaded
+	s.used = time.Now()
+	s.mu.Unlock()
+	if loaded {
+		return nil
+	}
+	started := time.Now()
+	if err := s.refresh(ctx); err != nil {
+		return err
+	}
+	kept := s.homes.config.Keeper.Kept(ctx, s.number)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loaded {
+		return nil
+	}
+	s.loaded, s.confirmed = true, time.Now()
+	for _, data := range kept {
+		s.submitCopy(data)
+	}
+	s.homes.config.Logger.Info("shard loaded", zap.Int("shard", s.number), zap.Int64("end", s.next),
+		zap.Int("turns", len(s.state.turns)), zap.Int("copies", len(kept)), zap.Duration("took", time.Since(started)))
+	return nil
+}
+
+// submitCopy queues a record that another instance held for a process that may be gone.
+func (s *shard) submitCopy(data []byte) {
+	r := &turnpb.Record{}
+	if err := proto.Unmarshal(data, r); err != nil {
+		s.homes.config.Logger.Error("copy of a record can't be read", zap.Int("shard", s.number), zap.Error(err))
+		return
+	}
+	s.state.apply(r)
+	s.submit(&operation{record: r, encoded: data, done: make(chan struct{}), kept: true})
+}
+
+// take folds records that stand at an offset; mu is held.
+func (s *shard) take(from int64, records [][]byte) {
+	now := time.Now()
+	for i, data := range records {
+		offset := from + int64(i)
+		if offset < s.next {
+			continue
+		}
+		s.next = offset + 1
+		r := &turnpb.Record{}
+		if err := proto.Unmarshal(data, r); err != nil {
+			s.homes.config.Logger.Error("record can't be read", zap.Int("shard", s.number), zap.Int64("offset", offset), zap.Error(err))
+			continue
+		}
+		s.state.apply(r)
+		if n := len(s.marks); n == 0 || now.Sub(s.marks[n-1].at) > time.Second {
+			s.marks = append(s.marks, mark{offset: offset, at: time.UnixMilli(r.GetWrittenMs())})
+		}
+		if r.GetWriter() == s.homes.writer {
+			s.complete(r.GetAppend(), nil)
+		}
+	}
+}
+
+// complete ends an operation; mu is held.
+func (s *shard) complete(number uint64, err error) {
+	op, ok := s.byNumber[number]
+	if !ok {
+		return
+	}
+	delete(s.byNumber, number)
+	for i, o := range s.pending {
+		if o == op {
+			s.pending = append(s.pending[:i:i], s.pending[i+1:]...)
+			break
+		}
+	}
+	s.release(op)
+	if op.kept {
+		s.homes.config.Keeper.Settled(s.number, [][]byte{op.encoded})
+	}
+	op.finish(err)
+}
+
+// release takes the tokens of an operation out of those reserved by operations
+// under way; mu is held.
+func (s *shard) release(op *operation) {
+	if op.tokens == 0 {
+		return
+	}
+	s.reserved[op.program] -= op.tokens
+	if s.reserved[op.program] <= 0 {
+		delete(s.reserved, op.program)
+	}
+	op.tokens = 0
+}
+
+// finish tells the caller of an operation how it ended, once.
+func (o *operation) finish(err error) {
+	select {
+	case <-o.done:
+	default:
+		o.err = err
+		close(o.done)
+	}
+}
+
+// wait returns when the operation is durable.
+func (o *operation) wait(ctx context.Context) error {
+	select {
+	case <-o.done:
+		return o.err
+	case <-ctx.Done():
+		return Errorf("write record", KindUnavailable, "not confirmed in time: %w", ctx.Err())
+	}
+}
+
+// submit queues an operation and starts the committer when none runs; mu is held.
+func (s *shard) submit(op *operation) {
+	op.number = s.homes.number.Add(1)
+	if op.encoded == nil {
+		op.record.Writer, op.record.Append = s.homes.writer, op.number
+		op.record.WrittenMs = time.Now().UnixMilli()
+		data, err := proto.Marshal(op.record)
+		if err != nil {
+			op.finish(Errorf("write record", KindUnavailable, "%w", err))
+			return
+		}
+		op.encoded = data
+	} else if op.record.GetWriter() == s.homes.writer {
+		op.number = op.record.GetAppend()
+	}
+	s.byNumber[op.number] = op
+	s.pending = append(s.pending, op)
+	if op.tokens > 0 {
+		s.reserved[op.program] += op.tokens
+	}
+	if !s.running {
+		s.running = true
+		go s.commit()
+	}
+}
+
+// commit appends what is pending until nothing is.
+func (s *shard) commit() {
+	pause := time.Duration(0)
+	var failing time.Time
+	for {
+		if pause > 0 {
+			timer.Sleep(context.Background(), pause)
+		} else {
+			timer.Sleep(context.Background(), s.homes.config.Linger)
+		}
+		s.mu.Lock()
+		batch := s.batch()
+		if len(batch) == 0 {
+			s.running = false
+			s.mu.Unlock()
+			return
+		}
+		at := s.next
+		s.mu.Unlock()
+		err := s.append(at, batch)
+		if err == nil {
+			pause, failing = 0, time.Time{}
+			continue
+		}
+		if failing.IsZero() {
+			failing = time.Now()
+		}
+		if KindOf(err) == KindConflict {
+			ctx, cancel := context.WithTimeout(context.Background(), s.homes.config.Timeout)
+			if rerr := s.refresh(ctx); rerr == nil {
+				s.recheck()
+				cancel()
+				pause = 0
+				continue
+			}
+			cancel()
+		}
+		s.homes.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", len(batch)), zap.Error(err))
+		s.keep(failing)
+		pause = min(maxRetryPause, max(retryPause, 2*pause))
+	}
+}
+
+// batch returns the pending operations that fit in one append; mu is held.
+func (s *shard) batch() []*operation {
+	size := 0
+	for i, op := range s.pending {
+		size += len(op.encoded)
+		if size > maxBatchBytes && i > 0 {
+			return append([]*operation(nil), s.pending[:i]...)
+		}
+	}
+	return append([]*operation(nil), s.pending...)
+}
+
+// append writes a batch at an offset and folds it.
+func (s *shard) append(at int64, batch []*operation) error {
+	records := make([][]byte, len(batch))
+	for i, op := range batch {
+		records[i] = op.encoded
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.homes.config.Timeout)
+	defer cancel()
+	if err := s.homes.config.Log.AppendAt(ctx, s.number, at, records); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmed = time.Now()
+	s.take(at, records)
+	for _, op := range batch {
+		s.complete(op.number, nil)
+	}
+	return nil
+}
+
+// recheck refuses pending attempts that no longer fit after another instance has
+// written to the shard.
+func (s *shard) recheck() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, op := range append([]*operation(nil), s.pending...) {
+		if op.budget == 0 || op.kept {
+			continue
+		}
+		others := s.reserved[op.program] - op.tokens
+		if s.state.committed(op.program)+others+op.tokens > op.budget {
+			s.complete(op.number, Errorf("begin turn", KindBudget, "budget of %d tokens is spent", op.budget))
+		}
+	}
+}
+
+// keep hands pending records to other instances while the log takes none; only
+// a shard that was confirmed before the outage may go on this way.
+func (s *shard) keep(failing time.Time) {
+	if time.Since(failing) < s.homes.config.KeepAfter {
+		return
+	}
+	s.mu.Lock()
+	var ops []*operation
+	var records [][]byte
+	if failing.Sub(s.confirmed) < s.homes.config.Incumbency {
+		for _, op := range s.pending {
+			if !op.kept {
+				ops, records = append(ops, op), append(records, op.encoded)
+			}
+		}
+	}
+	s.mu.Unlock()
+	if len(ops) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.homes.config.Timeout)
+	defer cancel()
+	if err := s.homes.config.Keeper.Keep(ctx, s.number, records); err != nil {
+		s.homes.config.Logger.Warn("records can't be copied", zap.Int("shard", s.number), zap.Int("records", len(records)), zap.Error(err))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, op := range ops {
+		if _, ok := s.byNumber[op.number]; !ok {
+			continue
+		}
+		op.kept = true
+		s.state.apply(op.record)
+		s.release(op)
+		op.finish(nil)
+	}
+}
