--- a/adapter/inifile/settings.go
+++ b/adapter/inifile/settings.go
@@ -15,6 +15,7 @@
 // Settings is what a settings file holds.
 type Settings struct {
 	daemon    daemon.Config
+	front     *daemon.FrontConfig
 	logLevel  string
 	logFormat string
 }
@@ -22,6 +23,9 @@
 // Daemon returns the description of the process, without a logger.
 func (s *Settings) Daemon() daemon.Config { return s.daemon }
 
+// Front returns the description of a front without a logger, nil for other roles.
+func (s *Settings) Front() *daemon.FrontConfig { return s.front }
+
 // LogLevel returns the least level to log.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
@@ -41,6 +45,9 @@
 func ReadSettings(name string, text []byte) (*Settings, error) {
 	f := load(name, text)
 	s := &Settings{daemon: daemon.Config{Parse: ParseConfiguration}}
+	if isFront(f) {
+		return readFront(f, s)
+	}
 	readProcess(f, &s.daemon)
 	readPlatform(f, &s.daemon)
 	readLog(f, s)
@@ -68,7 +75,7 @@
 	s := f.section("process")
 	c.Name = s.required("name", "a name unique among the instances")
 	c.Domain = s.required("domain", "the failure domain")
-	role := s.oneOf("role", "", fleet.EntryRole.String(), fleet.EngineRole.String(), fleet.ServiceRole.String())
+	role := s.oneOf("role", "", fleet.EntryRole.String(), fleet.EngineRole.String(), fleet.ServiceRole.String(), frontRole)
 	c.Role, _ = fleet.ParseRole(role)
 	c.StopTimeout = s.duration("stop-timeout", daemon.DefaultStopTimeout)
 	s.done()
--- /dev/null
+++ b/adapter/mesh/ledger.go
@@ -0,0 +1,157 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
+	"github.com/lavendervale/lavendervale/turn"
+)
+
+// endTimeout bounds the wait for the record of an end at another front, which
+// copies it to others when the log takes none.
+const endTimeout = 1500 * time.Millisecond
+
+// Begin admits an attempt of a turn at the home of its program; when that front
+// does not answer, this one decides by reading the log itself.
+func (m *Mesh) Begin(ctx context.Context, r turn.BeginRequest) (turn.Ticket, error) {
+	home := m.home(r.Program)
+	if home.name == m.config.Name {
+		return m.homes.Begin(ctx, r)
+	}
+	t, err := m.beginAt(ctx, home, r)
+	if err == nil || !unreachable(err) {
+		return t, err
+	}
+	m.config.Logger.Warn("home does not answer", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
+	return m.homes.Begin(ctx, r)
+}
+
+func (m *Mesh) home(program string) target {
+	return m.table.home(turn.ShardOf(program, m.config.Shards), time.Now(), m.leaving.Load())
+}
+
+// remote is an attempt that fits as far as its home knows.
+type remote struct {
+	exchange *exchange
+	opened   *meshpb.Opened
+	done     chan struct{}
+	err      error
+}
+
+func (m *Mesh) beginAt(ctx context.Context, home target, r turn.BeginRequest) (turn.Ticket, error) {
+	x, err := m.open(ctx, home, &meshpb.Request{Body: &meshpb.Request_Begin{Begin: &meshpb.Begin{
+		Program: r.Program, Session: r.Session, Attempt: r.Attempt, Previous: r.Previous, Budget: r.Budget, Tokens: r.Tokens,
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	reply, err := x.next(answerTimeout)
+	if err != nil {
+		x.close()
+		if unreachable(err) && ctx.Err() == nil {
+			m.fail(home)
+		}
+		return nil, err
+	}
+	out := &remote{exchange: x, opened: reply.GetOpened(), done: make(chan struct{})}
+	go out.await(ctx)
+	return out, nil
+}
+
+// await reads the second answer.
+func (r *remote) await(ctx context.Context) {
+	defer close(r.done)
+	defer r.exchange.close()
+	timeout := time.Minute
+	if d, ok := ctx.Deadline(); ok {
+		timeout = time.Until(d)
+	}
+	_, r.err = r.exchange.next(timeout)
+}
+
+// Text returns the conversation that the turn continues.
+func (r *remote) Text() []byte { return r.opened.GetText() }
+
+// Endpoint returns the endpoint that served the session last.
+func (r *remote) Endpoint() string { return r.opened.GetEndpoint() }
+
+// Wait returns when the attempt is durable.
+func (r *remote) Wait(ctx context.Context) error {
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return turn.Errorf("begin turn", turn.KindUnavailable, "not confirmed in time: %w", ctx.Err())
+	}
+}
+
+// End settles an attempt at the home of its program, or here when that front does
+// not answer.
+func (m *Mesh) End(ctx context.Context, r turn.EndRequest) error {
+	home := m.home(r.Program)
+	if home.name == m.config.Name {
+		return m.homes.End(ctx, r)
+	}
+	e := &meshpb.End{Program: r.Program, Session: r.Session, Attempt: r.Attempt, Tokens: r.Tokens, Endpoint: r.Endpoint}
+	if r.Keep != nil {
+		e.Keep, e.Previous, e.Text, e.RetentionMs = true, r.Keep.Previous, r.Keep.Text, r.Keep.RetentionMS
+	}
+	_, err := m.ask(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: e}}, endTimeout)
+	if err == nil {
+		return nil
+	}
+	m.config.Logger.Warn("home does not record", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
+	return m.homes.End(ctx, r)
+}
+
+// Find asks the homes of all other shards for a conversation.
+func (m *Mesh) Find(ctx context.Context, id string, besides int) ([]byte, bool, error) {
+	byHome := map[target][]int{}
+	now := time.Now()
+	for s := range m.config.Shards {
+		if s != besides {
+			t := m.table.home(s, now, m.leaving.Load())
+			byHome[t] = append(byHome[t], s)
+		}
+	}
+	answers := make(chan found, len(byHome))
+	for t, shards := range byHome {
+		go func() { answers <- m.findAt(ctx, t, id, shards) }()
+	}
+	var last error
+	for range byHome {
+		a := <-answers
+		if a.err != nil {
+			last = a.err
+		} else if a.ok {
+			return a.text, true, nil
+		}
+	}
+	return nil, false, last
+}
+
+// found is the answer of one home.
+type found struct {
+	text []byte
+	ok   bool
+	err  error
+}
+
+func (m *Mesh) findAt(ctx context.Context, t target, id string, shards []int) found {
+	if t.name != m.config.Name {
+		list := make([]uint32, len(shards))
+		for i, s := range shards {
+			list[i] = uint32(s)
+		}
+		reply, err := m.ask(ctx, t, &meshpb.Request{Body: &meshpb.Request_Find{Find: &meshpb.Find{Turn: id, Shards: list}}}, endTimeout)
+		if err == nil {
+			return found{text: reply.GetOpened().GetText(), ok: reply.GetOpened() != nil}
+		}
+		m.config.Logger.Warn("home does not search", zap.String("turn", id), zap.String("front", t.name), zap.Error(err))
+	}
+	text, ok, err := m.homes.Find(ctx, id, shards)
+	return found{text: text, ok: ok, err: err}
+}
--- /dev/null
+++ b/adapter/mesh/mesh.go
@@ -0,0 +1,134 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavendervale/lavendervale/adapter/session"
+	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/turn"
+)
+
+const (
+	// dialTimeout bounds the connection to another front.
+	dialTimeout = 300 * time.Millisecond
+	// answerTimeout bounds the wait for a front's first answer.
+	answerTimeout = 400 * time.Millisecond
+	// distrustTime is how long a front that did not answer is not asked.
+	distrustTime = 600 * time.Millisecond
+	// copies is the number of other fronts that hold a record during an outage.
+	copies = 2
+)
+
+// Config describes a Mesh.
+type Config struct {
+	// Name is the name of this front.
+	Name string
+	// Domain is its failure domain.
+	Domain string
+	// Incarnation is the number of its life.
+	Incarnation uint64
+	// Weight is its processor share, for the spread of shards.
+	Weight float64
+	// Address is where it listens to other fronts, over TCP and UDP.
+	Address string
+	// Shards is the number of shards of the log.
+	Shards int
+	// Directory takes the load of other fronts.
+	Directory *endpoint.Directory
+	// Logger takes what happens between fronts.
+	Logger *zap.Logger
+}
+
+// Store makes calls of the platform's store for other fronts.
+type Store interface {
+	// Direct makes one call without an intermediary.
+	Direct(ctx context.Context, method, target string, body []byte) (int, []byte, error)
+}
+
+// Mesh is this front among the others.
+type Mesh struct {
+	config   Config
+	table    *table
+	crashes  *crashes
+	held     *held
+	sessions *session.Pool
+	packets  net.PacketConn
+	listener net.Listener
+	sequence atomic.Uint64
+	leaving  atomic.Bool
+	homes    *turn.Homes
+	store    Store
+	active   sync.WaitGroup
+}
+
+// New opens the sockets of a mesh.
+func New(c Config) (*Mesh, error) {
+	listener, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return nil, Errorf("listen to fronts", KindUnreachable, "%w", err)
+	}
+	packets, err := net.ListenPacket("udp", listener.Addr().String())
+	if err != nil {
+		_ = listener.Close()
+		return nil, Errorf("listen to fronts", KindUnreachable, "%w", err)
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Mesh{
+		config: c, table: newTable(c.Name, c.Weight), crashes: newCrashes(), held: newHeld(), packets: packets, listener: listener,
+		sessions: session.New(session.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}}),
+	}, nil
+}
+
+// Attach gives the mesh what it serves to other fronts; it must be called before Run.
+func (m *Mesh) Attach(h *turn.Homes, s Store) { m.homes, m.store = h, s }
+
+// Address returns where the mesh listens.
+func (m *Mesh) Address() string { return m.listener.Addr().String() }
+
+// Learn notes the address of another front.
+func (m *Mesh) Learn(name, address string) { m.table.learn(name, address, time.Now()) }
+
+// Alive returns the number of other fronts that are heard of.
+func (m *Mesh) Alive() int { return len(m.table.alive(time.Now())) }
+
+// Leave tells the others to give the shards of this front to others.
+func (m *Mesh) Leave() { m.leaving.Store(true) }
+
+// Crashed notes that an endpoint ended while it ran an attempt of a request.
+func (m *Mesh) Crashed(request, attempt uint64) { m.crashes.add(request, attempt, time.Now()) }
+
+// Banned reports whether a request must not run any more.
+func (m *Mesh) Banned(request uint64) bool { return m.crashes.banned(request) }
+
+// Run gossips and serves until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	work.Go(func() { m.gossip(ctx) })
+	work.Go(m.listenGossip)
+	work.Go(func() { m.serve(ctx) })
+	<-ctx.Done()
+	_ = m.listener.Close()
+	time.AfterFunc(gossipInterval, func() { _ = m.packets.Close() })
+	work.Wait()
+	m.sessions.Close()
+}
+
+// Own returns the shards that belong to this front.
+func (m *Mesh) Own() []int {
+	var out []int
+	now := time.Now()
+	for s := range m.config.Shards {
+		if m.table.home(s, now, m.leaving.Load()).name == m.config.Name {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/adapter/mesh/peers.go
@@ -0,0 +1,151 @@
+package mesh
+
+import (
+	"math"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// lifeTime is how long a front counts as alive after its last datagram; a few
+	// may be lost.
+	lifeTime = 900 * time.Millisecond
+	// forgetTime is how long a silent front is still sent datagrams now and then.
+	forgetTime = 60 * time.Second
+)
+
+// peer is another front as this one knows it.
+type peer struct {
+	name        string
+	address     string
+	domain      string
+	incarnation uint64
+	sequence    uint64
+	weight      float64
+	leaving     bool
+	heard       time.Time
+	learned     time.Time
+	distrusted  time.Time
+}
+
+// alive reports whether the front was heard of lately and answers.
+func (p *peer) alive(now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) < lifeTime && now.After(p.distrusted)
+}
+
+// table holds the other fronts.
+type table struct {
+	mu    sync.Mutex
+	self  string
+	own   float64
+	peers map[string]*peer
+}
+
+func newTable(self string, weight float64) *table {
+	return &table{self: self, own: weight, peers: map[string]*peer{}}
+}
+
+// learn notes the address of a front.
+func (t *table) learn(name, address string, now time.Time) {
+	if name == t.self {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[name]
+	if !ok {
+		p = &peer{name: name}
+		t.peers[name] = p
+	}
+	if !p.alive(now) {
+		p.address = address
+	}
+	p.learned = now
+}
+
+// distrust keeps a front from being asked for a moment after it did not answer.
+func (t *table) distrust(name string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[name]; ok {
+		p.distrusted = until
+	}
+}
+
+// target is a front to ask.
+type target struct {
+	name    string
+	address string
+	domain  string
+}
+
+// alive returns the fronts that are heard of, those that leave last.
+func (t *table) alive(now time.Time) []target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out, leaving []target
+	for _, p := range t.peers {
+		if !p.alive(now) {
+			continue
+		}
+		if p.leaving {
+			leaving = append(leaving, target{p.name, p.address, p.domain})
+			continue
+		}
+		out = append(out, target{p.name, p.address, p.domain})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
+	return append(out, leaving...)
+}
+
+// gossipTargets returns the addresses to send datagrams to; silent fronts only when
+// all is set.
+func (t *table) gossipTargets(now time.Time, all bool) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for name, p := range t.peers {
+		silent := now.Sub(p.heard) > lifeTime
+		if silent && now.Sub(p.heard) > forgetTime && now.Sub(p.learned) > forgetTime {
+			delete(t.peers, name)
+			continue
+		}
+		if !silent || all {
+			out = append(out, p.address)
+		}
+	}
+	return out
+}
+
+// home returns the front that a shard belongs to, by weighted rendezvous hashing
+// over the fronts alive; the name of this one when it is the shard's.
+func (t *table) home(shard int, now time.Time, selfLeaving bool) target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best := target{name: t.self}
+	highest := math.Inf(-1)
+	if !selfLeaving {
+		highest = score(t.self, shard, t.own)
+	}
+	for _, p := range t.peers {
+		if !p.alive(now) || p.leaving {
+			continue
+		}
+		if s := score(p.name, shard, p.weight); s > highest {
+			best, highest = target{p.name, p.address, p.domain}, s
+		}
+	}
+	return best
+}
+
+// score is the weighted rendezvous score of a front for a shard (the logarithmic
+// method, after Schindelhauer and Schomaker).
+func score(name string, shard int, weight float64) float64 {
+	h := xxhash.Sum64String(name + "/" + strconv.Itoa(shard))
+	u := (float64(h>>11) + 0.5) / float64(uint64(1)<<53)
+	return -weight / math.Log(u)
+}
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -5,13 +5,17 @@
 	"fmt"
 
 	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/daemon"
 )
 
+// settingsVariable holds the path of the settings file on the platform.
+const settingsVariable = "LAVENDERVALE_BOOT"
+
 func settingsFlag() cli.Flag {
-	return &cli.StringFlag{Name: "settings", Required: true, Usage: "settings file of the process"}
+	return &cli.StringFlag{Name: "settings", Required: true, Usage: "settings file of the process", Sources: cli.EnvVars(settingsVariable)}
 }
 
 func runCommand() *cli.Command {
@@ -29,11 +33,15 @@
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
 	}
-	config := s.Daemon()
-	config.Logger, err = newLogger(s.LogLevel(), s.LogFormat())
+	logger, err := newLogger(s.LogLevel(), s.LogFormat())
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
 	}
+	if front := s.Front(); front != nil {
+		return runFront(ctx, *front, logger)
+	}
+	config := s.Daemon()
+	config.Logger = logger
 	p, err := daemon.New(config)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
@@ -41,6 +49,16 @@
 	return p.Run(ctx)
 }
 
+// runFront runs a front until ctx ends.
+func runFront(ctx context.Context, c daemon.FrontConfig, logger *zap.Logger) error {
+	c.Logger = logger
+	f, err := daemon.NewFront(c)
+	if err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	return f.Run(ctx)
+}
+
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
--- /dev/null
+++ b/daemon/front.go
@@ -0,0 +1,273 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/lavendervale/lavendervale/adapter/mesh"
+	"github.com/lavendervale/lavendervale/dispatch"
+	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/gateway"
+	"github.com/lavendervale/lavendervale/platform"
+	"github.com/lavendervale/lavendervale/route"
+	"github.com/lavendervale/lavendervale/turn"
+)
+
+// FrontConfig describes a front: a process that serves the callers of a platform.
+type FrontConfig struct {
+	// Name is unique among the live instances.
+	Name string
+	// Domain is the failure domain.
+	Domain string
+	// Callers is where callers are listened to.
+	Callers string
+	// Ready is where the platform asks whether the front is ready.
+	Ready string
+	// Peers is where other fronts are listened to, over TCP and UDP.
+	Peers string
+	// Metrics is where metrics are served, empty for nowhere.
+	Metrics string
+	// Store is the IP address and port of the platform's store.
+	Store string
+	// Shards is the number of parts of a topic of the store.
+	Shards int
+	// Memory is what the process may use, in MB.
+	Memory int64
+	// Processors is the processor share of the instance.
+	Processors float64
+	// Grace is the time from a request to stop to the end of the process.
+	Grace time.Duration
+	// Logger takes what the process reports.
+	Logger *zap.Logger
+}
+
+const (
+	// memoryShare is the part of the memory that the garbage collector aims at; the
+	// rest is for buffers of the kernel that count as well.
+	memoryShare = 0.7
+	// graceMargin is kept of the grace for the end of the process.
+	graceMargin = 1500 * time.Millisecond
+	// maxLeave bounds how long a process without requests waits for callers that
+	// still have a connection; the platform stops sending new ones in two seconds.
+	maxLeave = 5 * time.Second
+	// warmTimeout bounds the load of the own shards before a front is ready.
+	warmTimeout = 4 * time.Second
+	// readyCheck is the time between two looks whether the front is ready.
+	readyCheck = 50 * time.Millisecond
+	// isolated is how long neither the store nor another front may answer before the
+	// front asks for no new callers.
+	isolated = 1500 * time.Millisecond
+	// registerTimeout bounds the entry at the end of the process.
+	registerTimeout = 500 * time.Millisecond
+)
+
+// Front serves the callers of a platform.
+type Front struct {
+	config    FrontConfig
+	routes    *route.Store
+	directory *endpoint.Directory
+	store     *platform.Store
+	mesh      *mesh.Mesh
+	homes     *turn.Homes
+	workers   *platform.Workers
+	watch     *platform.Watch
+	ingress   *platform.Ingress
+	registry  *prometheus.Registry
+	warm      bool
+	mu        sync.Mutex
+	leaving   bool
+	number    uint64
+}
+
+// NewFront opens the listeners of a front.
+func NewFront(c FrontConfig) (*Front, error) {
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	c.Logger = c.Logger.With(zap.String("instance", c.Name))
+	if c.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(c.Memory) * (1 << 20)))
+	}
+	f := &Front{
+		config: c, routes: &route.Store{}, directory: endpoint.NewDirectory(), registry: prometheus.NewRegistry(), number: newIncarnation(),
+	}
+	listeners, err := listen(c.Callers)
+	if err != nil {
+		return nil, err
+	}
+	f.mesh, err = mesh.New(mesh.Config{
+		Name: c.Name, Domain: c.Domain, Incarnation: f.number, Weight: max(0.01, c.Processors), Address: c.Peers, Shards: c.Shards,
+		Directory: f.directory, Logger: c.Logger,
+	})
+	if err != nil {
+		_ = listeners[0].Close()
+		return nil, err
+	}
+	f.assemble(listeners[0])
+	return f, nil
+}
+
+// assemble joins the parts of the process.
+func (f *Front) assemble(callers net.Listener) {
+	c := f.config
+	f.store = platform.NewStore(platform.StoreConfig{Address: c.Store, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
+	f.homes = turn.New(turn.Config{
+		Writer: f.number, Shards: c.Shards, Log: f.store.Turns(), Keeper: f.mesh, Find: f.mesh.Find, Logger: c.Logger,
+		Linger: turn.DefaultLinger, Timeout: turn.DefaultTimeout, KeepAfter: turn.DefaultKeepAfter, Incumbency: turn.DefaultIncumbency,
+	})
+	f.mesh.Attach(f.homes, f.store)
+	f.workers = platform.NewWorkers(f.registry)
+	f.watch = platform.NewWatch(platform.WatchConfig{Store: f.store, Routes: f.routes, Directory: f.directory, Peers: f.mesh.Learn, Logger: c.Logger})
+	g := gateway.New(gateway.Config{
+		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Endpoints: f.workers,
+		Ledger: f.mesh, Suspects: f.mesh, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
+	})
+	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: callers, Handler: g, Routes: f.routes, Logger: c.Logger})
+}
+
+// Run serves until ctx ends, then lets the requests under way end.
+func (f *Front) Run(ctx context.Context) error {
+	c := f.config
+	c.Logger.Info("front starts", zap.String("domain", c.Domain), zap.String("callers", c.Callers), zap.String("peers", c.Peers),
+		zap.String("store", c.Store), zap.Int("shards", c.Shards), zap.Int64("memory", c.Memory), zap.Int("processors", runtime.GOMAXPROCS(0)),
+		zap.Uint64("incarnation", f.number), zap.Int("pid", os.Getpid()))
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var work sync.WaitGroup
+	failed := make(chan error, 3)
+	work.Go(func() { f.mesh.Run(inner) })
+	work.Go(func() { f.watch.Run(inner) })
+	work.Go(func() { f.workers.Run(inner) })
+	work.Go(func() { f.homes.Run(inner) })
+	work.Go(func() { f.register(inner) })
+	work.Go(func() { f.prepare(inner) })
+	work.Go(func() { failed <- f.ingress.Serve() })
+	closers := []*http.Server{f.serveHTTP(c.Ready, f.readyHandler(), failed)}
+	if c.Metrics != "" {
+		closers = append(closers, f.serveHTTP(c.Metrics, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), failed))
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		f.leave()
+	case err = <-failed:
+		c.Logger.Error("front fails", zap.Error(err))
+	}
+	cancel()
+	for _, s := range closers {
+		_ = s.Close()
+	}
+	work.Wait()
+	c.Logger.Info("front has stopped", zap.Error(err))
+	return err
+}
+
+func (f *Front) serveHTTP(address string, h http.Handler, failed chan<- error) *http.Server {
+	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: 2 * time.Second}
+	go func() {
+		if err := s.ListenAndServe(); err != http.ErrServerClosed {
+			failed <- err
+		}
+	}()
+	return s
+}
+
+// register makes the front known to the others.
+func (f *Front) register(ctx context.Context) {
+	if err := f.store.Register(ctx, f.config.Name, f.mesh.Address(), f.number); err != nil {
+		f.config.Logger.Warn("front not registered", zap.Error(err))
+	}
+}
+
+// prepare loads the own shards, after which the front is ready.
+func (f *Front) prepare(ctx context.Context) {
+	started := time.Now()
+	for f.routes.Table() == nil || f.directory.Len() == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(readyCheck):
+		}
+	}
+	load, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, shard := range f.mesh.Own() {
+		all.Go(func() {
+			if err := f.homes.Load(load, shard); err != nil {
+				f.config.Logger.Warn("shard not loaded", zap.Int("shard", shard), zap.Error(err))
+			}
+		})
+	}
+	all.Wait()
+	f.mu.Lock()
+	f.warm = true
+	f.mu.Unlock()
+	f.config.Logger.Info("front is ready", zap.Duration("took", time.Since(started)), zap.Int("endpoints", f.directory.Len()), zap.Int("fronts", f.mesh.Alive()))
+}
+
+// ready reports whether new callers should come.
+func (f *Front) ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.warm || f.leaving {
+		return false
+	}
+	return f.store.Away() < isolated || f.mesh.Alive() > 0
+}
+
+func (f *Front) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !f.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// leave lets callers go elsewhere and serves on until none is left or the grace ends.
+func (f *Front) leave() {
+	started := time.Now()
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	f.config.Logger.Info("front stops", zap.Int64("active", f.ingress.Active()))
+	f.mesh.Leave()
+	f.ingress.Leave()
+	unregister, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	go func() {
+		defer cancel()
+		if err := f.store.Unregister(unregister, f.config.Name); err != nil {
+			f.config.Logger.Warn("front not unregistered", zap.Error(err))
+		}
+	}()
+	grace := f.config.Grace - graceMargin
+	for time.Since(started) < grace {
+		if time.Since(started) > min(maxLeave, grace) && f.ingress.Active() == 0 {
+			break
+		}
+		time.Sleep(readyCheck)
+	}
+	stop, done := context.WithTimeout(context.Background(), max(0, grace-time.Since(started))+graceMargin/3)
+	defer done()
+	f.ingress.Close(stop)
+	f.homes.Flush(stop)
+}
+
+const (
+	// DefaultGrace is the time from a request to stop to the end of the process.
+	DefaultGrace = 8 * time.Second
+	// DefaultShards is the number of parts of a topic of the store.
+	DefaultShards = 12
+)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -13,6 +13,8 @@
 	Method string
 	// Host is the host that the caller named, without a port.
 	Host string
+	// Authority is the host as the caller wrote it.
+	Authority string
 	// Path is the path alone.
 	Path string
 	// Target is the path with its query, as the caller sent it.
