Load only a front's own shards at the start, and settle attempts of unknown outcome

LOST after a final fault: every front took all shards for its own before it had heard of the others, loaded and wrote all of them, and answered 404 from a shard that another front had written to. Fronts now wait for the list of fronts, say that they start, and a turn is unknown only when every front says so. New programs after the fault were told 402: an attempt whose caller left during the start stayed set aside. Such attempts are now settled with nothing.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -42,7 +42,7 @@
 func (m *Mesh) sendGossip(all bool) {
 	g := &meshpb.Gossip{
 		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.sequence.Add(1),
-		Weight: m.config.Weight, Leaving: m.leaving.Load(), Crashes: m.crashes.recent(time.Now()),
+		Weight: m.config.Weight, Leaving: m.leaving.Load(), Starting: m.starting.Load(), Crashes: m.crashes.recent(time.Now()),
 	}
 	for _, l := range m.config.Directory.Loads() {
 		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running)})
@@ -109,6 +109,6 @@
 		return false
 	}
 	p.incarnation, p.sequence = g.GetIncarnation(), g.GetSequence()
-	p.address, p.domain, p.weight, p.leaving, p.heard = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), now
+	p.address, p.domain, p.weight, p.leaving, p.starting, p.heard = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), now
 	return true
 }
--- a/adapter/mesh/held.go
+++ b/adapter/mesh/held.go
@@ -95,6 +95,19 @@
 	return out
 }
 
+// all returns the copies of all shards.
+func (h *held) all() map[int][][]byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[int][][]byte{}
+	for shard, m := range h.shards {
+		for _, c := range m {
+			out[shard] = append(out[shard], c.data)
+		}
+	}
+	return out
+}
+
 // Keep stores copies on other fronts, in other failure domains first.
 func (m *Mesh) Keep(ctx context.Context, shard int, records [][]byte) error {
 	targets := m.spread(time.Now())
--- a/adapter/mesh/ledger.go
+++ b/adapter/mesh/ledger.go
@@ -17,7 +17,7 @@
 // Begin admits an attempt of a turn at the home of its program; when that front
 // does not answer, this one decides by reading the log itself.
 func (m *Mesh) Begin(ctx context.Context, r turn.BeginRequest) (turn.Ticket, error) {
-	home := m.home(r.Program)
+	home := m.home(ctx, r.Program)
 	if home.name == m.config.Name {
 		return m.homes.Begin(ctx, r)
 	}
@@ -29,8 +29,23 @@
 	return m.homes.Begin(ctx, r)
 }
 
-func (m *Mesh) home(program string) target {
-	return m.table.home(turn.ShardOf(program, m.config.Shards), time.Now(), m.leaving.Load())
+// home returns the front that a program's shard belongs to; a front that starts
+// asks the others, or waits when there are none.
+func (m *Mesh) home(ctx context.Context, program string) target {
+	shard := turn.ShardOf(program, m.config.Shards)
+	t := m.homeOf(shard)
+	if t.name != m.config.Name || !m.starting.Load() {
+		return t
+	}
+	select {
+	case <-m.started:
+	case <-ctx.Done():
+	}
+	return m.homeOf(shard)
+}
+
+func (m *Mesh) homeOf(shard int) target {
+	return m.table.home(shard, time.Now(), !m.leaving.Load() && !m.starting.Load(), false)
 }
 
 // remote is an attempt that fits as far as its home knows.
@@ -91,7 +106,7 @@
 // End settles an attempt at the home of its program, or here when that front does
 // not answer.
 func (m *Mesh) End(ctx context.Context, r turn.EndRequest) error {
-	home := m.home(r.Program)
+	home := m.home(ctx, r.Program)
 	if home.name == m.config.Name {
 		return m.homes.End(ctx, r)
 	}
@@ -107,22 +122,26 @@
 	return m.homes.End(ctx, r)
 }
 
-// Find asks the homes of all other shards for a conversation.
+// Find asks all fronts for a conversation: each searches the shards that are its
+// own to their end, and whatever else it holds. A negative answer is certain only
+// when every front has given one.
 func (m *Mesh) Find(ctx context.Context, id string, besides int) ([]byte, bool, error) {
-	byHome := map[target][]int{}
-	now := time.Now()
+	shards := map[string][]int{}
 	for s := range m.config.Shards {
 		if s != besides {
-			t := m.table.home(s, now, m.leaving.Load())
-			byHome[t] = append(byHome[t], s)
+			name := m.homeOf(s).name
+			shards[name] = append(shards[name], s)
 		}
 	}
-	answers := make(chan found, len(byHome))
-	for t, shards := range byHome {
-		go func() { answers <- m.findAt(ctx, t, id, shards) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	targets := append(m.table.alive(time.Now()), target{name: m.config.Name})
+	answers := make(chan found, len(targets))
+	for _, t := range targets {
+		go func() { answers <- m.findAt(ctx, t, id, shards[t.name]) }()
 	}
 	var last error
-	for range byHome {
+	for range targets {
 		a := <-answers
 		if a.err != nil {
 			last = a.err
@@ -133,7 +152,7 @@
 	return nil, false, last
 }
 
-// found is the answer of one home.
+// found is the answer of one front.
 type found struct {
 	text []byte
 	ok   bool
@@ -141,17 +160,29 @@
 }
 
 func (m *Mesh) findAt(ctx context.Context, t target, id string, shards []int) found {
-	if t.name != m.config.Name {
-		list := make([]uint32, len(shards))
-		for i, s := range shards {
-			list[i] = uint32(s)
-		}
-		reply, err := m.ask(ctx, t, &meshpb.Request{Body: &meshpb.Request_Find{Find: &meshpb.Find{Turn: id, Shards: list}}}, endTimeout)
-		if err == nil {
-			return found{text: reply.GetOpened().GetText(), ok: reply.GetOpened() != nil}
-		}
-		m.config.Logger.Warn("home does not search", zap.String("turn", id), zap.String("front", t.name), zap.Error(err))
+	if t.name == m.config.Name {
+		text, ok, err := m.findHere(ctx, id, shards)
+		return found{text: text, ok: ok, err: err}
+	}
+	list := make([]uint32, len(shards))
+	for i, s := range shards {
+		list[i] = uint32(s)
+	}
+	reply, err := m.ask(ctx, t, &meshpb.Request{Body: &meshpb.Request_Find{Find: &meshpb.Find{Turn: id, Shards: list}}}, endTimeout)
+	if err != nil && ctx.Err() == nil {
+		m.config.Logger.Warn("front does not search", zap.String("turn", id), zap.String("front", t.name), zap.Error(err))
+	}
+	if err != nil {
+		return found{err: err}
+	}
+	return found{text: reply.GetOpened().GetText(), ok: reply.GetOpened() != nil}
+}
+
+// findHere searches the shards that are loaded here, the copies held for others,
+// and the given shards to their end.
+func (m *Mesh) findHere(ctx context.Context, id string, shards []int) ([]byte, bool, error) {
+	if text, ok := m.homes.Lookup(id, m.held.all()); ok {
+		return text, true, nil
 	}
-	text, ok, err := m.homes.Find(ctx, id, shards)
-	return found{text: text, ok: ok, err: err}
+	return m.homes.Find(ctx, id, shards)
 }
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -62,6 +62,8 @@
 	listener net.Listener
 	sequence atomic.Uint64
 	leaving  atomic.Bool
+	starting atomic.Bool
+	started  chan struct{}
 	homes    *turn.Homes
 	store    Store
 	active   sync.WaitGroup
@@ -79,12 +81,15 @@
 		return nil, Errorf("listen to fronts", KindUnreachable, "%w", err)
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Mesh{
-		config: c, table: newTable(c.Name, c.Weight), crashes: newCrashes(), held: newHeld(), packets: packets, listener: listener,
+	m := &Mesh{
+		started: make(chan struct{}),
+		config:  c, table: newTable(c.Name, c.Weight), crashes: newCrashes(), held: newHeld(), packets: packets, listener: listener,
 		sessions: session.New(session.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}),
-	}, nil
+	}
+	m.starting.Store(true)
+	return m, nil
 }
 
 // Attach gives the mesh what it serves to other fronts; it must be called before Run.
@@ -121,12 +126,19 @@
 	m.sessions.Close()
 }
 
-// Own returns the shards that belong to this front.
+// Started tells the others that this front has loaded its shards.
+func (m *Mesh) Started() {
+	if m.starting.CompareAndSwap(true, false) {
+		close(m.started)
+	}
+}
+
+// Own returns the shards that will belong to this front once all have started.
 func (m *Mesh) Own() []int {
 	var out []int
 	now := time.Now()
 	for s := range m.config.Shards {
-		if m.table.home(s, now, m.leaving.Load()).name == m.config.Name {
+		if m.table.home(s, now, true, true).name == m.config.Name {
 			out = append(out, s)
 		}
 	}
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -27,6 +27,7 @@
 	sequence    uint64
 	weight      float64
 	leaving     bool
+	starting    bool
 	heard       time.Time
 	learned     time.Time
 	distrusted  time.Time
@@ -122,17 +123,18 @@
 }
 
 // home returns the front that a shard belongs to, by weighted rendezvous hashing
-// over the fronts alive; the name of this one when it is the shard's.
-func (t *table) home(shard int, now time.Time, selfLeaving bool) target {
+// over the fronts alive; this one counts only with self, or when there is no other. Fronts that start count
+// only with starting.
+func (t *table) home(shard int, now time.Time, self, starting bool) target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best := target{name: t.self}
 	highest := math.Inf(-1)
-	if !selfLeaving {
+	if self {
 		highest = score(t.self, shard, t.own)
 	}
 	for _, p := range t.peers {
-		if !p.alive(now) || p.leaving {
+		if !p.alive(now) || p.leaving || (p.starting && !starting) {
 			continue
 		}
 		if s := score(p.name, shard, p.weight); s > highest {
--- a/adapter/mesh/serve.go
+++ b/adapter/mesh/serve.go
@@ -136,7 +136,7 @@
 	for i, s := range f.GetShards() {
 		shards[i] = int(s)
 	}
-	text, ok, err := a.mesh.homes.Find(ctx, f.GetTurn(), shards)
+	text, ok, err := a.mesh.findHere(ctx, f.GetTurn(), shards)
 	if err != nil {
 		return a.fault(err)
 	}
@@ -147,6 +147,8 @@
 }
 
 func (a answerer) storeCall(ctx context.Context, c *meshpb.StoreCall) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
 	status, body, err := a.mesh.store.Direct(ctx, c.GetMethod(), c.GetTarget(), c.GetBody())
 	if err != nil {
 		return a.fault(turn.Errorf("relay store call", turn.KindUnknown, "%w", err))
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -62,6 +62,10 @@
 	maxLeave = 5 * time.Second
 	// warmTimeout bounds the load of the own shards before a front is ready.
 	warmTimeout = 4 * time.Second
+	// peersTimeout bounds the wait for the list of other fronts at the start, and
+	// peersPause lets them answer the first gossip.
+	peersTimeout = 2 * time.Second
+	peersPause   = 250 * time.Millisecond
 	// readyCheck is the time between two looks whether the front is ready.
 	readyCheck = 50 * time.Millisecond
 	// isolated is how long neither the store nor another front may answer before the
@@ -192,6 +196,14 @@
 // prepare loads the own shards, after which the front is ready.
 func (f *Front) prepare(ctx context.Context) {
 	started := time.Now()
+	select {
+	case <-ctx.Done():
+		return
+	case <-f.watch.PeersKnown():
+	case <-time.After(peersTimeout):
+		f.config.Logger.Warn("front starts without knowing the others", zap.Duration("waited", peersTimeout))
+	}
+	time.Sleep(peersPause)
 	for f.routes.Table() == nil || f.directory.Len() == 0 {
 		select {
 		case <-ctx.Done():
@@ -210,6 +222,7 @@
 		})
 	}
 	all.Wait()
+	f.mesh.Started()
 	f.mu.Lock()
 	f.warm = true
 	f.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,9 +51,21 @@
 		Program: c.program(), Session: r.Session, Attempt: r.ID, Previous: c.previous(), Budget: r.Budget, Tokens: r.MaxTokens,
 	})
 	c.begun = err == nil
+	if err != nil && turn.KindOf(err) != turn.KindBudget && turn.KindOf(err) != turn.KindNotFound {
+		go c.release()
+	}
 	return t, err
 }
 
+// release gives back what an attempt without a known outcome may have set aside.
+func (c *call) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if err := c.Ledger.End(ctx, turn.EndRequest{Program: c.program(), Attempt: c.request.ID}); err != nil {
+		c.Logger.Warn("attempt not released", zap.String("request", c.request.ID), zap.Error(err))
+	}
+}
+
 // tracked reports whether the turn has a state that outlives it.
 func (c *call) tracked() bool {
 	return c.route.Stateful() || c.request.Budget > 0
--- a/turn/homes.go
+++ b/turn/homes.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	turnpb "github.com/lavendervale/lavendervale/api/turn/v1"
 )
@@ -202,6 +203,50 @@
 	return nil, false, nil
 }
 
+// Lookup returns the conversation up to a turn if a loaded shard holds it, or one
+// of the copies that are held for other instances.
+func (h *Homes) Lookup(turn string, copies map[int][][]byte) ([]byte, bool) {
+	h.mu.Lock()
+	shards := make([]*shard, 0, len(h.shards))
+	for _, s := range h.shards {
+		shards = append(shards, s)
+	}
+	h.mu.Unlock()
+	for _, s := range shards {
+		if text, ok := s.lookup(turn); ok {
+			return text, true
+		}
+	}
+	for n, list := range copies {
+		if text, ok := h.shard(n).lookupWith(turn, list); ok {
+			return text, true
+		}
+	}
+	return nil, false
+}
+
+// lookupWith looks for a turn among copies that the log may not have taken.
+func (s *shard) lookupWith(id string, copies [][]byte) ([]byte, bool) {
+	for _, data := range copies {
+		r := &turnpb.Record{}
+		if err := proto.Unmarshal(data, r); err != nil || r.GetEnd().GetAttempt() != id || r.GetEnd().GetTurn() == nil {
+			continue
+		}
+		t := r.GetEnd().GetTurn()
+		if t.GetWhole() || t.GetPrevious() == "" {
+			return t.GetText(), true
+		}
+		before, ok := s.lookup(t.GetPrevious())
+		if !ok {
+			if before, ok = s.lookupWith(t.GetPrevious(), copies); !ok {
+				return nil, false
+			}
+		}
+		return append(append([]byte(nil), before...), t.GetText()...), true
+	}
+	return nil, false
+}
+
 // End settles an attempt; with a turn to keep it returns when the turn is durable.
 func (h *Homes) End(ctx context.Context, r EndRequest) error {
 	s := h.shard(ShardOf(r.Program, h.config.Shards))
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -282,9 +282,10 @@
 				continue
 			}
 			cancel()
+		} else {
+			s.keep(failing)
 		}
 		s.homes.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", len(batch)), zap.Error(err))
-		s.keep(failing)
 		pause = min(maxRetryPause, max(retryPause, 2*pause))
 	}
 }
