Do not count an attempt against itself when it is asked for again

A front that got no answer from a home decided by itself and found the reservation of its own request in the log: 402 for a program whose budget held one turn. The reservation of the same attempt no longer counts, and a refusal after an unanswered question is settled.

--- a/adapter/mesh/ledger.go
+++ b/adapter/mesh/ledger.go
@@ -26,7 +26,21 @@
 		return t, err
 	}
 	m.config.Logger.Warn("home does not answer", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
-	return m.homes.Begin(ctx, r)
+	t, err = m.homes.Begin(ctx, r)
+	if err != nil {
+		go m.release(r)
+	}
+	return t, err
+}
+
+// release settles an attempt that was refused here after another front may have
+// admitted it.
+func (m *Mesh) release(r turn.BeginRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	if err := m.homes.End(ctx, turn.EndRequest{Program: r.Program, Attempt: r.Attempt}); err != nil {
+		m.config.Logger.Warn("attempt not released", zap.String("request", r.Attempt), zap.Error(err))
+	}
 }
 
 // home returns the front that a program's shard belongs to; a front that starts
--- a/turn/homes.go
+++ b/turn/homes.go
@@ -131,9 +131,11 @@
 	if r.Budget <= 0 {
 		return out, nil
 	}
-	if s.state.committed(r.Program)+s.reserved[r.Program]+r.Tokens > r.Budget {
-		return nil, Errorf("begin turn", KindBudget, "budget of %d tokens does not hold %d more, %d are spent or set aside",
-			r.Budget, r.Tokens, s.state.committed(r.Program)+s.reserved[r.Program])
+	if out.op = s.beginning(r.Attempt); out.op != nil {
+		return out, nil
+	}
+	if taken := s.state.committed(r.Program, r.Attempt) + s.reserved[r.Program]; taken+r.Tokens > r.Budget {
+		return nil, Errorf("begin turn", KindBudget, "budget of %d tokens does not hold %d more, %d are spent or set aside", r.Budget, r.Tokens, taken)
 	}
 	out.op = &operation{
 		program: r.Program, tokens: r.Tokens, budget: r.Budget, done: make(chan struct{}),
@@ -143,6 +145,17 @@
 	return out, nil
 }
 
+// beginning returns the pending operation that sets tokens aside for an attempt,
+// which a front that got no answer may ask for again; mu is held.
+func (s *shard) beginning(attempt string) *operation {
+	for _, op := range s.pending {
+		if op.record.GetBegin().GetAttempt() == attempt {
+			return op
+		}
+	}
+	return nil
+}
+
 // conversation returns the text up to a turn, from this shard or any other.
 func (s *shard) conversation(ctx context.Context, r BeginRequest) ([]byte, error) {
 	text, ok, err := s.find(ctx, r.Previous)
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -333,7 +333,7 @@
 			continue
 		}
 		others := s.reserved[op.program] - op.tokens
-		if s.state.committed(op.program)+others+op.tokens > op.budget {
+		if s.state.committed(op.program, op.record.GetBegin().GetAttempt())+others+op.tokens > op.budget {
 			s.complete(op.number, Errorf("begin turn", KindBudget, "budget of %d tokens is spent", op.budget))
 		}
 	}
--- a/turn/state.go
+++ b/turn/state.go
@@ -54,15 +54,17 @@
 	return p
 }
 
-// committed returns what a program has spent and set aside.
-func (s *state) committed(id string) int64 {
+// committed returns what a program has spent and set aside besides one attempt.
+func (s *state) committed(id, besides string) int64 {
 	p, ok := s.programs[id]
 	if !ok {
 		return 0
 	}
 	sum := p.spent
-	for _, n := range p.open {
-		sum += n
+	for attempt, n := range p.open {
+		if attempt != besides {
+			sum += n
+		}
 	}
 	return sum
 }
