Go on at once in an outage of the store, and append the copies of lost fronts

In an outage every append was waited for (700 ms) before records were copied; sessions of homes that were only slow were closed with all their requests; and copies whose home had died were appended only by a front that loaded the shard anew. Records are now copied by a loop of their own, a front that does not answer is pinged first, and holders append copies of lost fronts.

--- a/adapter/mesh/held.go
+++ b/adapter/mesh/held.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
+	"github.com/lavendervale/lavendervale/timer"
 )
 
 const (
@@ -29,13 +30,14 @@
 
 type copied struct {
 	data []byte
+	from string
 	at   time.Time
 }
 
 func newHeld() *held { return &held{shards: map[int]map[uint64]copied{}} }
 
 // put holds copies; it returns false when there is no room.
-func (h *held) put(shard int, records [][]byte, now time.Time) bool {
+func (h *held) put(from string, shard int, records [][]byte, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.expire(now)
@@ -50,7 +52,7 @@
 		}
 		key := xxhash.Sum64(r)
 		if _, ok := m[key]; !ok {
-			m[key] = copied{data: r, at: now}
+			m[key] = copied{data: r, from: from, at: now}
 			h.bytes += len(r)
 		}
 	}
@@ -84,6 +86,21 @@
 	}
 }
 
+// orphans returns the copies whose front is gone, by shard.
+func (h *held) orphans(alive func(name string) bool) map[int][][]byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[int][][]byte{}
+	for shard, m := range h.shards {
+		for _, c := range m {
+			if !alive(c.from) {
+				out[shard] = append(out[shard], c.data)
+			}
+		}
+	}
+	return out
+}
+
 // list returns the copies of a shard.
 func (h *held) list(shard int) [][]byte {
 	h.mu.Lock()
@@ -140,8 +157,8 @@
 			waiting++
 		}
 	}
-	if stored < copies {
-		return Errorf("copy records", KindUnreachable, "only %d of %d fronts hold them", stored, copies)
+	if stored < minCopies {
+		return Errorf("copy records", KindUnreachable, "only %d of %d fronts hold them", stored, minCopies)
 	}
 	return nil
 }
@@ -227,3 +244,20 @@
 	}
 	return 0, nil, last
 }
+
+// adoptOrphans appends the copies of fronts that are gone to the log.
+func (m *Mesh) adoptOrphans(ctx context.Context) {
+	for timer.Sleep(ctx, adoptInterval) == nil {
+		for shard, records := range m.held.orphans(m.table.isAlive) {
+			try, cancel := context.WithTimeout(ctx, serveTimeout)
+			err := m.homes.Adopt(try, shard, records)
+			cancel()
+			if err != nil {
+				m.config.Logger.Warn("copies not appended", zap.Int("shard", shard), zap.Int("records", len(records)), zap.Error(err))
+				continue
+			}
+			m.config.Logger.Info("copies of a lost front appended", zap.Int("shard", shard), zap.Int("records", len(records)))
+			m.held.drop(shard, records)
+		}
+	}
+}
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -19,10 +19,16 @@
 	dialTimeout = 300 * time.Millisecond
 	// answerTimeout bounds the wait for a front's first answer.
 	answerTimeout = 400 * time.Millisecond
+	// pingTimeout bounds the wait for a sign of life of a front that did not answer.
+	pingTimeout = 150 * time.Millisecond
 	// distrustTime is how long a front that did not answer is not asked.
 	distrustTime = 600 * time.Millisecond
 	// copies is the number of other fronts that hold a record during an outage.
-	copies = 2
+	copies = 3
+	// minCopies is the number that must have taken the record.
+	minCopies = 2
+	// adoptInterval is the time between two looks for copies whose front is gone.
+	adoptInterval = 500 * time.Millisecond
 )
 
 // Config describes a Mesh.
@@ -119,6 +125,7 @@
 	work.Go(func() { m.gossip(ctx) })
 	work.Go(m.listenGossip)
 	work.Go(func() { m.serve(ctx) })
+	work.Go(func() { m.adoptOrphans(ctx) })
 	<-ctx.Done()
 	_ = m.listener.Close()
 	time.AfterFunc(gossipInterval, func() { _ = m.packets.Close() })
@@ -133,6 +140,9 @@
 	}
 }
 
+// Home reports whether a shard belongs to this front.
+func (m *Mesh) Home(shard int) bool { return m.homeOf(shard).name == m.config.Name }
+
 // Own returns the shards that will belong to this front once all have started.
 func (m *Mesh) Own() []int {
 	var out []int
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -103,6 +103,14 @@
 	return append(out, leaving...)
 }
 
+// isAlive reports whether a front of a name is heard of.
+func (t *table) isAlive(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[name]
+	return ok && time.Since(p.heard) < lifeTime
+}
+
 // gossipTargets returns the addresses to send datagrams to; silent fronts only when
 // all is set.
 func (t *table) gossipTargets(now time.Time, all bool) []string {
--- a/adapter/session/pool.go
+++ b/adapter/session/pool.go
@@ -99,6 +99,37 @@
 	return l.session == nil || l.session.NumStreams() == 0
 }
 
+// Check asks for a sign of life of the process at an address and ends the session
+// when none comes in time.
+func (p *Pool) Check(address string, timeout time.Duration) bool {
+	p.mu.Lock()
+	l, ok := p.links[address]
+	p.mu.Unlock()
+	if !ok {
+		return false
+	}
+	l.mu.Lock()
+	s := l.session
+	l.mu.Unlock()
+	if s == nil {
+		return false
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		if err == nil {
+			return true
+		}
+	case <-time.After(timeout):
+	}
+	_ = s.Close()
+	return false
+}
+
 // Close ends all sessions.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -127,7 +127,7 @@
 	f.store = platform.NewStore(platform.StoreConfig{Address: c.Store, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
 	f.homes = turn.New(turn.Config{
 		Writer: f.number, Shards: c.Shards, Log: f.store.Turns(), Keeper: f.mesh, Find: f.mesh.Find, Logger: c.Logger,
-		Linger: turn.DefaultLinger, Timeout: turn.DefaultTimeout, KeepAfter: turn.DefaultKeepAfter, Incumbency: turn.DefaultIncumbency,
+		Linger: turn.DefaultLinger, Timeout: turn.DefaultTimeout, KeepAfter: turn.DefaultKeepAfter, OutageAfter: turn.DefaultOutageAfter, Home: f.mesh.Home, Incumbency: turn.DefaultIncumbency,
 	})
 	f.mesh.Attach(f.homes, f.store)
 	f.workers = platform.NewWorkers(f.registry)
--- a/turn/homes.go
+++ b/turn/homes.go
@@ -21,7 +21,10 @@
 	DefaultTimeout = 700 * time.Millisecond
 	// DefaultKeepAfter is how long the log may fail before records are copied to
 	// other instances.
-	DefaultKeepAfter = 60 * time.Millisecond
+	DefaultKeepAfter = 80 * time.Millisecond
+	// DefaultOutageAfter is how long the log must have failed before the end of a
+	// turn rests on copies.
+	DefaultOutageAfter = time.Second
 	// DefaultIncumbency is how long before an outage a shard must have been read or
 	// written to its end to go on without the log.
 	DefaultIncumbency = 10 * time.Second
@@ -47,6 +50,10 @@
 	Timeout time.Duration
 	// KeepAfter is how long the log may fail before records are copied.
 	KeepAfter time.Duration
+	// OutageAfter is how long the log must have failed before an end rests on copies.
+	OutageAfter time.Duration
+	// Home reports whether a shard belongs to this instance.
+	Home func(shard int) bool
 	// Incumbency is how fresh a shard must be to go on without the log.
 	Incumbency time.Duration
 	// Find asks all other shards for a conversation: found is false only when
@@ -138,7 +145,7 @@
 		return nil, Errorf("begin turn", KindBudget, "budget of %d tokens does not hold %d more, %d are spent or set aside", r.Budget, r.Tokens, taken)
 	}
 	out.op = &operation{
-		program: r.Program, tokens: r.Tokens, budget: r.Budget, done: make(chan struct{}),
+		program: r.Program, tokens: r.Tokens, budget: r.Budget,
 		record: &turnpb.Record{Body: &turnpb.Record_Begin{Begin: &turnpb.Begin{Program: r.Program, Attempt: r.Attempt, Tokens: r.Tokens}}},
 	}
 	s.submit(out.op)
@@ -263,9 +270,6 @@
 // End settles an attempt; with a turn to keep it returns when the turn is durable.
 func (h *Homes) End(ctx context.Context, r EndRequest) error {
 	s := h.shard(ShardOf(r.Program, h.config.Shards))
-	if err := s.load(ctx); err != nil {
-		return err
-	}
 	end := &turnpb.End{Program: r.Program, Attempt: r.Attempt, Tokens: r.Tokens}
 	if r.Keep != nil {
 		t, err := s.turn(ctx, r)
@@ -282,7 +286,7 @@
 	if p, ok := s.state.programs[r.Program]; ok {
 		end.Spent = p.spent
 	}
-	op := &operation{done: make(chan struct{}), record: &turnpb.Record{Body: &turnpb.Record_End{End: end}}}
+	op := &operation{record: &turnpb.Record{Body: &turnpb.Record_End{End: end}}}
 	s.submit(op)
 	s.mu.Unlock()
 	if r.Keep == nil {
@@ -310,6 +314,11 @@
 	}
 	if !foreign {
 		text, err := s.conversation(ctx, BeginRequest{Attempt: r.Attempt, Previous: r.Keep.Previous})
+		if err != nil && KindOf(err) != KindNotFound {
+			// The earlier part was found at the start of the turn: it stands in this
+			// shard, or the text is lost with the process that had found it.
+			return t, nil
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -323,6 +332,11 @@
 	return t, nil
 }
 
+// Adopt appends records of a shard that were held for a process that is gone.
+func (h *Homes) Adopt(ctx context.Context, shard int, records [][]byte) error {
+	return h.shard(shard).adopt(ctx, records)
+}
+
 // Run expires turns and trims the log until ctx ends.
 func (h *Homes) Run(ctx context.Context) {
 	t := time.NewTicker(maintainInterval)
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -19,6 +19,9 @@
 	retryPause = 20 * time.Millisecond
 	// maxRetryPause bounds the wait as failures go on.
 	maxRetryPause = 150 * time.Millisecond
+	// guardInterval is the time between two looks for records that the log does not
+	// take.
+	guardInterval = 15 * time.Millisecond
 	// wholeAge is the age from which a conversation is written whole again, so that
 	// its records may be trimmed.
 	wholeAge = 90 * time.Second
@@ -43,6 +46,8 @@
 	running   bool
 	used      time.Time
 	confirmed time.Time
+	failing   time.Time
+	guarded   bool
 	marks     []mark
 	reading   sync.Mutex
 }
@@ -61,8 +66,12 @@
 	program string
 	tokens  int64
 	budget  int64
-	kept    bool
+	// kept is set when other instances hold the record, so that its caller may go on.
+	kept      bool
+	submitted time.Time
+	// done is closed when the caller may go on, durable when the log has the record.
 	done    chan struct{}
+	durable chan struct{}
 	err     error
 }
 
@@ -132,15 +141,21 @@
 	return nil
 }
 
-// submitCopy queues a record that another instance held for a process that may be gone.
-func (s *shard) submitCopy(data []byte) {
+// submitCopy queues a record that another instance held for a process that may be
+// gone, unless the log has it; mu is held.
+func (s *shard) submitCopy(data []byte) *operation {
 	r := &turnpb.Record{}
 	if err := proto.Unmarshal(data, r); err != nil {
 		s.homes.config.Logger.Error("copy of a record can't be read", zap.Int("shard", s.number), zap.Error(err))
-		return
+		return nil
+	}
+	if s.state.has(r) {
+		return nil
 	}
 	s.state.apply(r)
-	s.submit(&operation{record: r, encoded: data, done: make(chan struct{}), kept: true})
+	op := &operation{record: r, encoded: data, kept: true}
+	s.submit(op)
+	return op
 }
 
 // take folds records that stand at an offset; mu is held.
@@ -181,6 +196,7 @@
 		}
 	}
 	s.release(op)
+	close(op.durable)
 	if op.kept {
 		s.homes.config.Keeper.Settled(s.number, [][]byte{op.encoded})
 	}
@@ -220,9 +236,21 @@
 	}
 }
 
+// waitDurable returns when the log has the record.
+func (o *operation) waitDurable(ctx context.Context) error {
+	select {
+	case <-o.durable:
+		return nil
+	case <-ctx.Done():
+		return Errorf("write record", KindUnavailable, "not in the log in time: %w", ctx.Err())
+	}
+}
+
 // submit queues an operation and starts the committer when none runs; mu is held.
 func (s *shard) submit(op *operation) {
 	op.number = s.homes.number.Add(1)
+	op.submitted = time.Now()
+	op.done, op.durable = make(chan struct{}), make(chan struct{})
 	if op.encoded == nil {
 		op.record.Writer, op.record.Append = s.homes.writer, op.number
 		op.record.WrittenMs = time.Now().UnixMilli()
@@ -244,18 +272,17 @@
 		s.running = true
 		go s.commit()
 	}
+	if !s.guarded {
+		s.guarded = true
+		go s.guard()
+	}
 }
 
 // commit appends what is pending until nothing is.
 func (s *shard) commit() {
-	pause := time.Duration(0)
-	var failing time.Time
+	pause := s.homes.config.Linger
 	for {
-		if pause > 0 {
-			timer.Sleep(context.Background(), pause)
-		} else {
-			timer.Sleep(context.Background(), s.homes.config.Linger)
-		}
+		timer.Sleep(context.Background(), pause)
 		s.mu.Lock()
 		batch := s.batch()
 		if len(batch) == 0 {
@@ -263,33 +290,94 @@
 			s.mu.Unlock()
 			return
 		}
-		at := s.next
 		s.mu.Unlock()
-		err := s.append(at, batch)
+		err := s.write(batch)
 		if err == nil {
-			pause, failing = 0, time.Time{}
+			pause = s.homes.config.Linger
 			continue
 		}
-		if failing.IsZero() {
-			failing = time.Now()
-		}
-		if KindOf(err) == KindConflict {
-			ctx, cancel := context.WithTimeout(context.Background(), s.homes.config.Timeout)
-			if rerr := s.refresh(ctx); rerr == nil {
-				s.recheck()
-				cancel()
-				pause = 0
-				continue
-			}
-			cancel()
-		} else {
-			s.keep(failing)
-		}
 		s.homes.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", len(batch)), zap.Error(err))
 		pause = min(maxRetryPause, max(retryPause, 2*pause))
 	}
 }
 
+// write appends a batch; when another instance has written meanwhile, it takes
+// over what that wrote and lets the caller try again.
+func (s *shard) write(batch []*operation) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.homes.config.Timeout)
+	defer cancel()
+	if err := s.load(ctx); err != nil {
+		s.setFailing(true)
+		return err
+	}
+	s.mu.Lock()
+	at := s.next
+	s.mu.Unlock()
+	err := s.append(at, batch)
+	if err != nil && KindOf(err) == KindConflict {
+		if err = s.refresh(ctx); err == nil {
+			s.recheck()
+		}
+	}
+	s.setFailing(err != nil)
+	return err
+}
+
+func (s *shard) setFailing(failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if failing && s.failing.IsZero() {
+		s.failing = time.Now()
+	} else if !failing {
+		s.failing = time.Time{}
+	}
+}
+
+// guard copies records to other instances as long as the log does not take them.
+func (s *shard) guard() {
+	for {
+		timer.Sleep(context.Background(), guardInterval)
+		s.mu.Lock()
+		if len(s.pending) == 0 {
+			s.guarded = false
+			s.mu.Unlock()
+			return
+		}
+		ops := s.unguarded(time.Now())
+		s.mu.Unlock()
+		if len(ops) > 0 {
+			s.keep(ops)
+		}
+	}
+}
+
+// unguarded returns the pending operations to copy now; mu is held.
+func (s *shard) unguarded(now time.Time) []*operation {
+	var ops []*operation
+	for _, op := range s.pending {
+		if !op.kept && s.mayKeep(op, now) {
+			ops = append(ops, op)
+		}
+	}
+	return ops
+}
+
+// mayKeep reports whether copies may stand in for the log. The end of a turn waits
+// for the log unless that has failed for a while, since copies are lost when all
+// instances are. The beginning of a turn goes on early, since its tokens are at
+// most those of one turn, but only at the home of the shard that knew it to its
+// end before the log failed; mu is held.
+func (s *shard) mayKeep(op *operation, now time.Time) bool {
+	c := s.homes.config
+	if op.record.GetBegin() == nil {
+		return !s.failing.IsZero() && now.Sub(s.failing) > c.OutageAfter
+	}
+	if s.failing.IsZero() && now.Sub(op.submitted) < c.KeepAfter {
+		return false
+	}
+	return now.Sub(s.confirmed) < c.Incumbency && c.Home(s.number)
+}
+
 // batch returns the pending operations that fit in one append; mu is held.
 func (s *shard) batch() []*operation {
 	size := 0
@@ -339,25 +427,11 @@
 	}
 }
 
-// keep hands pending records to other instances while the log takes none; only
-// a shard that was confirmed before the outage may go on this way.
-func (s *shard) keep(failing time.Time) {
-	if time.Since(failing) < s.homes.config.KeepAfter {
-		return
-	}
-	s.mu.Lock()
-	var ops []*operation
-	var records [][]byte
-	if failing.Sub(s.confirmed) < s.homes.config.Incumbency {
-		for _, op := range s.pending {
-			if !op.kept {
-				ops, records = append(ops, op), append(records, op.encoded)
-			}
-		}
-	}
-	s.mu.Unlock()
-	if len(ops) == 0 {
-		return
+// keep copies records to other instances, after which their callers may go on.
+func (s *shard) keep(ops []*operation) {
+	records := make([][]byte, len(ops))
+	for i, op := range ops {
+		records[i] = op.encoded
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.homes.config.Timeout)
 	defer cancel()
@@ -369,6 +443,7 @@
 	defer s.mu.Unlock()
 	for _, op := range ops {
 		if _, ok := s.byNumber[op.number]; !ok {
+			s.homes.config.Keeper.Settled(s.number, [][]byte{op.encoded})
 			continue
 		}
 		op.kept = true
@@ -377,3 +452,28 @@
 		op.finish(nil)
 	}
 }
+
+// adopt appends records that another instance held for a process that is gone,
+// besides those that the log has.
+func (s *shard) adopt(ctx context.Context, records [][]byte) error {
+	if err := s.load(ctx); err != nil {
+		return err
+	}
+	if err := s.refresh(ctx); err != nil {
+		return err
+	}
+	var ops []*operation
+	s.mu.Lock()
+	for _, data := range records {
+		if op := s.submitCopy(data); op != nil {
+			ops = append(ops, op)
+		}
+	}
+	s.mu.Unlock()
+	for _, op := range ops {
+		if err := op.waitDurable(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/turn/state.go
+++ b/turn/state.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// has reports whether a record would change nothing.
+func (s *state) has(r *turnpb.Record) bool {
+	if b := r.GetBegin(); b != nil {
+		p, ok := s.programs[b.GetProgram()]
+		if !ok {
+			return false
+		}
+		_, open := p.open[b.GetAttempt()]
+		_, ended := p.ended[b.GetAttempt()]
+		return open || ended
+	}
+	e := r.GetEnd()
+	p, ok := s.programs[e.GetProgram()]
+	if !ok {
+		return false
+	}
+	_, ended := p.ended[e.GetAttempt()]
+	_, kept := s.turns[e.GetAttempt()]
+	return ended && (kept || e.GetTurn() == nil)
+}
+
 func (s *state) begin(b *turnpb.Begin, at time.Time) {
 	p := s.program(b.GetProgram(), at)
 	if _, ok := p.ended[b.GetAttempt()]; ok {
