End a turn whole only when the log has it

Turns answered on the strength of copies were lost with them: 404 for a turn answered whole. Turns now end whole only when the log has them; one beginning a program may rest on copies, since forgetting it costs the budget no more than one turn. Ruled out: records hidden by the fold; shards read short of their end.

--- a/adapter/mesh/ask.go
+++ b/adapter/mesh/ask.go
@@ -83,6 +83,32 @@
 	return reply, err
 }
 
+// askLong sends a request and waits for its only answer as long as the front lives.
+func (m *Mesh) askLong(ctx context.Context, t target, r *meshpb.Request) error {
+	x, err := m.open(ctx, t, r)
+	if err != nil {
+		return err
+	}
+	defer x.close()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := x.next(serveTimeout)
+		answered <- err
+	}()
+	look := time.NewTicker(aliveInterval)
+	defer look.Stop()
+	for {
+		select {
+		case err := <-answered:
+			return err
+		case <-look.C:
+			if !m.fail(t) {
+				return Errorf("ask front "+t.name, KindUnreachable, "it gives no sign of life")
+			}
+		}
+	}
+}
+
 // unreachable reports whether the front itself failed, not what it was asked for.
 func unreachable(err error) bool {
 	_, ok := err.(*Error)
--- a/adapter/mesh/ledger.go
+++ b/adapter/mesh/ledger.go
@@ -10,9 +10,13 @@
 	"github.com/lavendervale/lavendervale/turn"
 )
 
-// endTimeout bounds the wait for the record of an end at another front, which
-// copies it to others when the log takes none.
-const endTimeout = 1500 * time.Millisecond
+const (
+	// findTimeout bounds the search of another front, which may have to load shards.
+	findTimeout = 1500 * time.Millisecond
+	// aliveInterval is the time between two looks whether a front that takes long
+	// still lives.
+	aliveInterval = 400 * time.Millisecond
+)
 
 // Begin admits an attempt of a turn at the home of its program; when that front
 // does not answer, this one decides by reading the log itself.
@@ -128,10 +132,13 @@
 	if r.Keep != nil {
 		e.Keep, e.Previous, e.Text, e.RetentionMs = true, r.Keep.Previous, r.Keep.Text, r.Keep.RetentionMS
 	}
-	_, err := m.ask(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: e}}, endTimeout)
+	err := m.askLong(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: e}})
 	if err == nil {
 		return nil
 	}
+	if ctx.Err() != nil {
+		return turn.Errorf("end turn", turn.KindUnavailable, "not recorded in time: %w", err)
+	}
 	m.config.Logger.Warn("home does not record", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
 	return m.homes.End(ctx, r)
 }
@@ -182,7 +189,7 @@
 	for i, s := range shards {
 		list[i] = uint32(s)
 	}
-	reply, err := m.ask(ctx, t, &meshpb.Request{Body: &meshpb.Request_Find{Find: &meshpb.Find{Turn: id, Shards: list}}}, endTimeout)
+	reply, err := m.ask(ctx, t, &meshpb.Request{Body: &meshpb.Request_Find{Find: &meshpb.Find{Turn: id, Shards: list}}}, findTimeout)
 	if err != nil && ctx.Err() == nil {
 		m.config.Logger.Warn("front does not search", zap.String("turn", id), zap.String("front", t.name), zap.Error(err))
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -118,7 +118,11 @@
 	if whole && c.route.Stateful() {
 		r.Keep = &turn.Keep{Previous: c.previous(), Text: s.text(), RetentionMS: c.route.Retention().Milliseconds()}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	limit := time.Now().Add(settleTimeout)
+	if r.Keep != nil && c.deadline.Before(limit) {
+		limit = c.deadline
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	err := c.Ledger.End(ctx, r)
 	if err != nil {
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -354,28 +354,42 @@
 // unguarded returns the pending operations to copy now; mu is held.
 func (s *shard) unguarded(now time.Time) []*operation {
 	var ops []*operation
+	begun := map[string]bool{}
 	for _, op := range s.pending {
-		if !op.kept && s.mayKeep(op, now) {
-			ops = append(ops, op)
+		if op.kept || begun[op.program] || !s.mayKeep(op, now) {
+			continue
 		}
+		begun[op.program] = op.program != ""
+		ops = append(ops, op)
 	}
 	return ops
 }
 
-// mayKeep reports whether copies may stand in for the log. The end of a turn waits
-// for the log unless that has failed for a while, since copies are lost when all
-// instances are. The beginning of a turn goes on early, since its tokens are at
-// most those of one turn, but only at the home of the shard that knew it to its
-// end before the log failed; mu is held.
+// mayKeep reports whether copies may stand in for the log, although they are lost
+// when all instances are. A whole turn never rests on them, since it must be found
+// again. The beginning of a turn may, once a program: forgotten, it costs the
+// budget no more than one turn, which is allowed. Only the home of the shard may go
+// on, if it knew the shard to its end before the log failed; mu is held.
 func (s *shard) mayKeep(op *operation, now time.Time) bool {
 	c := s.homes.config
-	if op.record.GetBegin() == nil {
-		return !s.failing.IsZero() && now.Sub(s.failing) > c.OutageAfter
+	if end := op.record.GetEnd(); end != nil {
+		return end.GetTurn() == nil && !s.failing.IsZero() && now.Sub(s.failing) > c.OutageAfter
 	}
 	if s.failing.IsZero() && now.Sub(op.submitted) < c.KeepAfter {
 		return false
 	}
-	return now.Sub(s.confirmed) < c.Incumbency && c.Home(s.number)
+	return now.Sub(s.confirmed) < c.Incumbency && c.Home(s.number) && !s.keptBefore(op.program)
+}
+
+// keptBefore reports whether another beginning of a program rests on copies; mu is
+// held.
+func (s *shard) keptBefore(program string) bool {
+	for _, op := range s.pending {
+		if op.kept && op.program == program {
+			return true
+		}
+	}
+	return false
 }
 
 // batch returns the pending operations that fit in one append; mu is held.
