--- a/adapter/inifile/front.go
+++ b/adapter/inifile/front.go
@@ -38,6 +38,7 @@
 	st := f.section("store")
 	c.Store = st.address("address", true)
 	c.Shards = int(st.integer("shards", daemon.DefaultShards, 1, maxShards))
+	c.Writes = st.number("writes", 0)
 	st.done()
 	readLog(f, s)
 	if err := f.finish("read settings", "[process]", "[listen]", "[store]", "[log]"); err != nil {
--- a/adapter/mesh/held.go
+++ b/adapter/mesh/held.go
@@ -17,6 +17,8 @@
 	holdTime = 90 * time.Second
 	// maxHeldBytes bounds the copies that are held.
 	maxHeldBytes = 24 << 20
+	// maxRelays is how many other fronts are asked to make a call of the store.
+	maxRelays = 2
 	// keptTimeout bounds the question for copies.
 	keptTimeout = 250 * time.Millisecond
 )
@@ -229,7 +231,10 @@
 // StoreCall makes a call of the platform's store through another front.
 func (m *Mesh) StoreCall(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
 	last := error(Errorf("relay store call", KindUnreachable, "no other front is heard of"))
-	for _, t := range m.spread(time.Now()) {
+	for i, t := range m.spread(time.Now()) {
+		if i == maxRelays {
+			break
+		}
 		reply, err := m.ask(ctx, t, &meshpb.Request{Body: &meshpb.Request_Store{Store: &meshpb.StoreCall{Method: method, Target: target, Body: body}}}, answerTimeout)
 		if err != nil {
 			last = err
--- a/adapter/mesh/ledger.go
+++ b/adapter/mesh/ledger.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// maxHomes is how many fronts are asked for a program before this one decides.
+	maxHomes = 3
 	// findTimeout bounds the search of another front, which may have to load shards.
 	findTimeout = 1500 * time.Millisecond
 	// aliveInterval is the time between two looks whether a front that takes long
@@ -18,19 +20,22 @@
 	aliveInterval = 400 * time.Millisecond
 )
 
-// Begin admits an attempt of a turn at the home of its program; when that front
-// does not answer, this one decides by reading the log itself.
+// Begin admits an attempt of a turn at the home of its program. When that front
+// does not answer, the next one is its home, and in the end this one decides by
+// reading the log itself.
 func (m *Mesh) Begin(ctx context.Context, r turn.BeginRequest) (turn.Ticket, error) {
-	home := m.home(ctx, r.Program)
-	if home.name == m.config.Name {
-		return m.homes.Begin(ctx, r)
-	}
-	t, err := m.beginAt(ctx, home, r)
-	if err == nil || !unreachable(err) {
-		return t, err
+	for range maxHomes {
+		home := m.home(ctx, r.Program)
+		if home.name == m.config.Name {
+			break
+		}
+		t, err := m.beginAt(ctx, home, r)
+		if err == nil || !unreachable(err) {
+			return t, err
+		}
+		m.config.Logger.Warn("home does not answer", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
 	}
-	m.config.Logger.Warn("home does not answer", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
-	t, err = m.homes.Begin(ctx, r)
+	t, err := m.homes.Begin(ctx, r)
 	if err != nil {
 		go m.release(r)
 	}
@@ -121,25 +126,27 @@
 	}
 }
 
-// End settles an attempt at the home of its program, or here when that front does
-// not answer.
+// End settles an attempt at the home of its program, or at the next one when that
+// front does not answer.
 func (m *Mesh) End(ctx context.Context, r turn.EndRequest) error {
-	home := m.home(ctx, r.Program)
-	if home.name == m.config.Name {
-		return m.homes.End(ctx, r)
-	}
 	e := &meshpb.End{Program: r.Program, Session: r.Session, Attempt: r.Attempt, Tokens: r.Tokens, Endpoint: r.Endpoint}
 	if r.Keep != nil {
 		e.Keep, e.Previous, e.Text, e.RetentionMs = true, r.Keep.Previous, r.Keep.Text, r.Keep.RetentionMS
 	}
-	err := m.askLong(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: e}})
-	if err == nil {
-		return nil
-	}
-	if ctx.Err() != nil {
-		return turn.Errorf("end turn", turn.KindUnavailable, "not recorded in time: %w", err)
+	for range maxHomes {
+		home := m.home(ctx, r.Program)
+		if home.name == m.config.Name {
+			break
+		}
+		err := m.askLong(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: e}})
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return turn.Errorf("end turn", turn.KindUnavailable, "not recorded in time: %w", err)
+		}
+		m.config.Logger.Warn("home does not record", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
 	}
-	m.config.Logger.Warn("home does not record", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
 	return m.homes.End(ctx, r)
 }
 
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -16,6 +16,9 @@
 	lifeTime = 900 * time.Millisecond
 	// forgetTime is how long a silent front is still sent datagrams now and then.
 	forgetTime = 60 * time.Second
+	// minHomeShare is the least weight of a home as a share of the greatest: small
+	// instances would have to move whole shards over slow links.
+	minHomeShare = 0.5
 )
 
 // peer is another front as this one knows it.
@@ -136,13 +139,14 @@
 func (t *table) home(shard int, now time.Time, self, starting bool) target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	least := t.heaviest(now, self, starting) * minHomeShare
 	best := target{name: t.self}
 	highest := math.Inf(-1)
-	if self {
+	if self && t.own >= least {
 		highest = score(t.self, shard, t.own)
 	}
 	for _, p := range t.peers {
-		if !p.alive(now) || p.leaving || (p.starting && !starting) {
+		if !p.counts(now, starting) || p.weight < least {
 			continue
 		}
 		if s := score(p.name, shard, p.weight); s > highest {
@@ -152,6 +156,25 @@
 	return best
 }
 
+// counts reports whether a front may be the home of shards.
+func (p *peer) counts(now time.Time, starting bool) bool {
+	return p.alive(now) && !p.leaving && (!p.starting || starting)
+}
+
+// heaviest returns the greatest weight among the fronts that may be homes.
+func (t *table) heaviest(now time.Time, self, starting bool) float64 {
+	most := 0.0
+	if self {
+		most = t.own
+	}
+	for _, p := range t.peers {
+		if p.counts(now, starting) {
+			most = max(most, p.weight)
+		}
+	}
+	return most
+}
+
 // score is the weighted rendezvous score of a front for a shard (the logarithmic
 // method, after Schindelhauer and Schomaker).
 func score(name string, shard int, weight float64) float64 {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -41,6 +41,9 @@
 	Store string
 	// Shards is the number of parts of a topic of the store.
 	Shards int
+	// Writes is the number of writing calls a second that the store takes from all
+	// instances, 0 for unknown.
+	Writes float64
 	// Memory is what the process may use, in MB.
 	Memory int64
 	// Processors is the processor share of the instance.
@@ -55,6 +58,8 @@
 	// memoryShare is the part of the memory that the garbage collector aims at; the
 	// rest is for buffers of the kernel that count as well.
 	memoryShare = 0.7
+	// writeShare is the part of the store's rate that the records of turns may take.
+	writeShare = 0.75
 	// graceMargin is kept of the grace for the end of the process.
 	graceMargin = 1500 * time.Millisecond
 	// maxLeave bounds how long a process without requests waits for callers that
@@ -127,7 +132,7 @@
 	f.store = platform.NewStore(platform.StoreConfig{Address: c.Store, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
 	f.homes = turn.New(turn.Config{
 		Writer: f.number, Shards: c.Shards, Log: f.store.Turns(), Keeper: f.mesh, Find: f.mesh.Find, Logger: c.Logger,
-		Linger: turn.DefaultLinger, Timeout: turn.DefaultTimeout, KeepAfter: turn.DefaultKeepAfter, OutageAfter: turn.DefaultOutageAfter, Home: f.mesh.Home, Incumbency: turn.DefaultIncumbency,
+		Gap: gap(c), Linger: turn.DefaultLinger, Timeout: turn.DefaultTimeout, KeepAfter: turn.DefaultKeepAfter, OutageAfter: turn.DefaultOutageAfter, Home: f.mesh.Home, Incumbency: turn.DefaultIncumbency,
 	})
 	f.mesh.Attach(f.homes, f.store)
 	f.workers = platform.NewWorkers(f.registry)
@@ -139,6 +144,15 @@
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: callers, Handler: g, Routes: f.routes, Logger: c.Logger})
 }
 
+// gap returns the time between two appends of a shard by which all shards
+// together stay within the rate of the store.
+func gap(c FrontConfig) time.Duration {
+	if c.Writes <= 0 {
+		return 0
+	}
+	return time.Duration(float64(c.Shards) / (writeShare * c.Writes) * float64(time.Second))
+}
+
 // Run serves until ctx ends, then lets the requests under way end.
 func (f *Front) Run(ctx context.Context) error {
 	c := f.config
--- a/turn/homes.go
+++ b/turn/homes.go
@@ -46,6 +46,9 @@
 	Keeper Keeper
 	// Linger is how long a record waits for others.
 	Linger time.Duration
+	// Gap is the least time between two appends of a shard, which keeps all shards
+	// within the rate of the log.
+	Gap time.Duration
 	// Timeout bounds one call of the log.
 	Timeout time.Duration
 	// KeepAfter is how long the log may fail before records are copied.
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -19,6 +19,11 @@
 	retryPause = 20 * time.Millisecond
 	// maxRetryPause bounds the wait as failures go on.
 	maxRetryPause = 150 * time.Millisecond
+	// beginLinger is how long the record of a beginning waits for others: it is needed
+	// with the first token, which takes an engine longer.
+	beginLinger = 10 * time.Millisecond
+	// settleLinger is how long a settlement that nobody waits for does.
+	settleLinger = 150 * time.Millisecond
 	// guardInterval is the time between two looks for records that the log does not
 	// take.
 	guardInterval = 15 * time.Millisecond
@@ -280,9 +285,10 @@
 
 // commit appends what is pending until nothing is.
 func (s *shard) commit() {
-	pause := s.homes.config.Linger
+	pause := time.Duration(0)
+	var last time.Time
 	for {
-		timer.Sleep(context.Background(), pause)
+		s.linger(max(pause, s.homes.config.Gap-time.Since(last)))
 		s.mu.Lock()
 		batch := s.batch()
 		if len(batch) == 0 {
@@ -291,9 +297,10 @@
 			return
 		}
 		s.mu.Unlock()
+		last = time.Now()
 		err := s.write(batch)
 		if err == nil {
-			pause = s.homes.config.Linger
+			pause = 0
 			continue
 		}
 		s.homes.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", len(batch)), zap.Error(err))
@@ -301,6 +308,41 @@
 	}
 }
 
+// linger waits for a pause and then for the most urgent of the pending operations.
+func (s *shard) linger(pause time.Duration) {
+	timer.Sleep(context.Background(), pause)
+	for {
+		s.mu.Lock()
+		due := s.due(time.Now())
+		s.mu.Unlock()
+		if due <= 0 {
+			return
+		}
+		timer.Sleep(context.Background(), min(due, s.homes.config.Linger))
+	}
+}
+
+// due returns how long the pending operations may still wait for others; mu is held.
+func (s *shard) due(now time.Time) time.Duration {
+	if len(s.pending) == 0 {
+		return 0
+	}
+	least := settleLinger
+	for _, op := range s.pending {
+		linger := s.homes.config.Linger
+		switch {
+		case op.kept:
+			linger = 0
+		case op.record.GetBegin() != nil:
+			linger = beginLinger
+		case op.record.GetEnd().GetTurn() == nil:
+			linger = settleLinger
+		}
+		least = min(least, linger-now.Sub(op.submitted))
+	}
+	return least
+}
+
 // write appends a batch; when another instance has written meanwhile, it takes
 // over what that wrote and lets the caller try again.
 func (s *shard) write(batch []*operation) error {
