Let only the home of a shard load it, and start with the others in view

Ends, releases and copies of lost fronts now go to the home; a front starts when it hears half of the others. SIGHUP no longer ends the process: settings are read and compared.

--- a/adapter/mesh/held.go
+++ b/adapter/mesh/held.go
@@ -255,7 +255,7 @@
 	for timer.Sleep(ctx, adoptInterval) == nil {
 		for shard, records := range m.held.orphans(m.table.isAlive) {
 			try, cancel := context.WithTimeout(ctx, serveTimeout)
-			err := m.homes.Adopt(try, shard, records)
+			err := m.adopt(try, shard, records)
 			cancel()
 			if err != nil {
 				m.config.Logger.Warn("copies not appended", zap.Int("shard", shard), zap.Int("records", len(records)), zap.Error(err))
@@ -266,3 +266,13 @@
 		}
 	}
 }
+
+// adopt lets the home of a shard append copies.
+func (m *Mesh) adopt(ctx context.Context, shard int, records [][]byte) error {
+	home := m.homeOf(shard)
+	if home.name == m.config.Name {
+		return m.homes.Adopt(ctx, shard, records)
+	}
+	request := &meshpb.Request{Body: &meshpb.Request_Copies{Copies: &meshpb.Copies{Shard: uint32(shard), Records: records, Adopt: true}}}
+	return m.askLong(ctx, home, request)
+}
--- a/adapter/mesh/ledger.go
+++ b/adapter/mesh/ledger.go
@@ -7,12 +7,15 @@
 	"go.uber.org/zap"
 
 	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
+	"github.com/lavendervale/lavendervale/timer"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
 const (
 	// maxHomes is how many fronts are asked for a program before this one decides.
 	maxHomes = 3
+	// endPause is the wait before an end is sent again.
+	endPause = 50 * time.Millisecond
 	// findTimeout bounds the search of another front, which may have to load shards.
 	findTimeout = 1500 * time.Millisecond
 	// aliveInterval is the time between two looks whether a front that takes long
@@ -35,6 +38,9 @@
 		}
 		m.config.Logger.Warn("home does not answer", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
 	}
+	if !m.mayDecide(r.Program) {
+		return nil, turn.Errorf("begin turn", turn.KindUnavailable, "none of the homes asked answers")
+	}
 	t, err := m.homes.Begin(ctx, r)
 	if err != nil {
 		go m.release(r)
@@ -42,12 +48,18 @@
 	return t, err
 }
 
+// mayDecide reports whether this front may load the shard of a program: it is the
+// home, or no other front can be.
+func (m *Mesh) mayDecide(program string) bool {
+	return m.homeOf(turn.ShardOf(program, m.config.Shards)).name == m.config.Name
+}
+
 // release settles an attempt that was refused here after another front may have
 // admitted it.
 func (m *Mesh) release(r turn.BeginRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
-	if err := m.homes.End(ctx, turn.EndRequest{Program: r.Program, Attempt: r.Attempt}); err != nil {
+	if err := m.End(ctx, turn.EndRequest{Program: r.Program, Attempt: r.Attempt}); err != nil {
 		m.config.Logger.Warn("attempt not released", zap.String("request", r.Attempt), zap.Error(err))
 	}
 }
@@ -133,10 +145,10 @@
 	if r.Keep != nil {
 		e.Keep, e.Previous, e.Text, e.RetentionMs = true, r.Keep.Previous, r.Keep.Text, r.Keep.RetentionMS
 	}
-	for range maxHomes {
+	for {
 		home := m.home(ctx, r.Program)
 		if home.name == m.config.Name {
-			break
+			return m.homes.End(ctx, r)
 		}
 		err := m.askLong(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: e}})
 		if err == nil {
@@ -146,8 +158,10 @@
 			return turn.Errorf("end turn", turn.KindUnavailable, "not recorded in time: %w", err)
 		}
 		m.config.Logger.Warn("home does not record", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
+		if timer.Sleep(ctx, endPause) != nil {
+			return turn.Errorf("end turn", turn.KindUnavailable, "not recorded in time: %w", err)
+		}
 	}
-	return m.homes.End(ctx, r)
 }
 
 // Find asks all fronts for a conversation: each searches the shards that are its
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -110,6 +110,9 @@
 // Alive returns the number of other fronts that are heard of.
 func (m *Mesh) Alive() int { return len(m.table.alive(time.Now())) }
 
+// Known returns the number of other fronts that are registered or heard of.
+func (m *Mesh) Known() int { return m.table.known() }
+
 // Leave tells the others to give the shards of this front to others.
 func (m *Mesh) Leave() { m.leaving.Store(true) }
 
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -106,6 +106,13 @@
 	return append(out, leaving...)
 }
 
+// known returns the number of fronts that are registered or heard of.
+func (t *table) known() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.peers)
+}
+
 // isAlive reports whether a front of a name is heard of.
 func (t *table) isAlive(name string) bool {
 	t.mu.Lock()
--- a/adapter/mesh/serve.go
+++ b/adapter/mesh/serve.go
@@ -89,7 +89,7 @@
 	case r.GetStore() != nil:
 		return a.storeCall(ctx, r.GetStore())
 	case r.GetCopies() != nil:
-		return a.copies(r.GetFrom(), r.GetCopies())
+		return a.copies(ctx, r.GetFrom(), r.GetCopies())
 	case r.GetFetch() != nil:
 		list := m.held.list(int(r.GetFetch().GetShard()))
 		return a.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Copies{Copies: &meshpb.Copies{Records: list}}})
@@ -156,8 +156,11 @@
 	return a.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Store{Store: &meshpb.StoreReply{Status: uint32(status), Body: body}}})
 }
 
-func (a answerer) copies(from string, c *meshpb.Copies) error {
+func (a answerer) copies(ctx context.Context, from string, c *meshpb.Copies) error {
 	shard := int(c.GetShard())
+	if c.GetAdopt() {
+		return a.done(a.mesh.homes.Adopt(ctx, shard, c.GetRecords()))
+	}
 	if c.GetSettled() {
 		a.mesh.held.drop(shard, c.GetRecords())
 		return a.done(nil)
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -38,7 +41,7 @@
 		return cli.Exit(err, exitInvalid)
 	}
 	if front := s.Front(); front != nil {
-		return runFront(ctx, *front, logger)
+		return runFront(ctx, c.String("settings"), *front, logger)
 	}
 	config := s.Daemon()
 	config.Logger = logger
@@ -50,12 +53,13 @@
 }
 
 // runFront runs a front until ctx ends.
-func runFront(ctx context.Context, c daemon.FrontConfig, logger *zap.Logger) error {
+func runFront(ctx context.Context, path string, c daemon.FrontConfig, logger *zap.Logger) error {
 	c.Logger = logger
 	f, err := daemon.NewFront(c)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
 	}
+	go reload(ctx, path, c)
 	return f.Run(ctx)
 }
 
@@ -74,3 +78,26 @@
 		},
 	}
 }
+
+// reload reads the settings anew on SIGHUP and says what would change: listeners and
+// names hold for the life of a process, so that no connection is lost.
+func reload(ctx context.Context, path string, c daemon.FrontConfig) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		s, err := inifile.ReadSettingsFile(path)
+		if err != nil {
+			c.Logger.Error("settings can't be read, the old ones hold", zap.String("path", path), zap.Error(err))
+			continue
+		}
+		next := s.Front()
+		changed := next == nil || next.Store != c.Store || next.Memory != c.Memory || next.Grace != c.Grace
+		c.Logger.Info("settings read", zap.String("path", path), zap.Bool("restart_needed", changed))
+	}
+}
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -68,9 +68,11 @@
 	// warmTimeout bounds the load of the own shards before a front is ready.
 	warmTimeout = 4 * time.Second
 	// peersTimeout bounds the wait for the list of other fronts at the start, and
-	// peersPause lets them answer the first gossip.
+	// peersPause and peersWait bound the wait until half of them are heard of: a front
+	// that knows no other would take all shards for its own.
 	peersTimeout = 2 * time.Second
 	peersPause   = 250 * time.Millisecond
+	peersWait    = 1500 * time.Millisecond
 	// readyCheck is the time between two looks whether the front is ready.
 	readyCheck = 50 * time.Millisecond
 	// isolated is how long neither the store nor another front may answer before the
@@ -217,7 +219,9 @@
 	case <-time.After(peersTimeout):
 		f.config.Logger.Warn("front starts without knowing the others", zap.Duration("waited", peersTimeout))
 	}
-	time.Sleep(peersPause)
+	for waited := time.Duration(0); waited < peersPause || (waited < peersWait && 2*f.mesh.Alive() < f.mesh.Known()); waited += readyCheck {
+		time.Sleep(readyCheck)
+	}
 	for f.routes.Table() == nil || f.directory.Len() == 0 {
 		select {
 		case <-ctx.Done():
