--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -83,8 +83,8 @@
 // names hold for the life of a process, so that no connection is lost.
 func reload(ctx context.Context, path string, c daemon.FrontConfig) {
 	hup := make(chan os.Signal, 1)
+	// Never given back: a SIGHUP while the process stops must not end it.
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	for {
 		select {
 		case <-ctx.Done():
