--- a/turn/homes.go
+++ b/turn/homes.go
@@ -144,7 +144,7 @@
 	if out.op = s.beginning(r.Attempt); out.op != nil {
 		return out, nil
 	}
-	if taken := s.state.committed(r.Program, r.Attempt) + s.reserved[r.Program]; taken+r.Tokens > r.Budget {
+	if taken := s.taken(r.Program, r.Attempt); taken+r.Tokens > r.Budget {
 		return nil, Errorf("begin turn", KindBudget, "budget of %d tokens does not hold %d more, %d are spent or set aside", r.Budget, r.Tokens, taken)
 	}
 	out.op = &operation{
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -45,7 +45,6 @@
 	loaded    bool
 	pending   []*operation
 	byNumber  map[uint64]*operation
-	reserved  map[string]int64
 	sessions  map[string]string
 	foreign   map[string][]byte
 	running   bool
@@ -82,7 +81,7 @@
 
 func newShard(h *Homes, number int) *shard {
 	return &shard{
-		homes: h, number: number, state: newState(), byNumber: map[uint64]*operation{}, reserved: map[string]int64{},
+		homes: h, number: number, state: newState(), byNumber: map[uint64]*operation{},
 		sessions: map[string]string{}, foreign: map[string][]byte{},
 	}
 }
@@ -200,7 +199,6 @@
 			break
 		}
 	}
-	s.release(op)
 	close(op.durable)
 	if op.kept {
 		s.homes.config.Keeper.Settled(s.number, [][]byte{op.encoded})
@@ -208,19 +206,6 @@
 	op.finish(err)
 }
 
-// release takes the tokens of an operation out of those reserved by operations
-// under way; mu is held.
-func (s *shard) release(op *operation) {
-	if op.tokens == 0 {
-		return
-	}
-	s.reserved[op.program] -= op.tokens
-	if s.reserved[op.program] <= 0 {
-		delete(s.reserved, op.program)
-	}
-	op.tokens = 0
-}
-
 // finish tells the caller of an operation how it ended, once.
 func (o *operation) finish(err error) {
 	select {
@@ -270,9 +255,6 @@
 	}
 	s.byNumber[op.number] = op
 	s.pending = append(s.pending, op)
-	if op.tokens > 0 {
-		s.reserved[op.program] += op.tokens
-	}
 	if !s.running {
 		s.running = true
 		go s.commit()
@@ -467,6 +449,22 @@
 	return nil
 }
 
+// taken returns what a program has spent and set aside besides one attempt, with
+// the records that are on their way to the log; mu is held.
+func (s *shard) taken(program, besides string) int64 {
+	sum := s.state.committed(program, besides)
+	open := s.state.open(program)
+	for _, op := range s.pending {
+		if b := op.record.GetBegin(); b.GetProgram() == program && b.GetAttempt() != besides && open[b.GetAttempt()] == 0 {
+			sum += b.GetTokens()
+		}
+		if e := op.record.GetEnd(); e.GetProgram() == program && open[e.GetAttempt()] > 0 {
+			sum += e.GetTokens() - open[e.GetAttempt()]
+		}
+	}
+	return sum
+}
+
 // recheck refuses pending attempts that no longer fit after another instance has
 // written to the shard.
 func (s *shard) recheck() {
@@ -476,8 +474,7 @@
 		if op.budget == 0 || op.kept {
 			continue
 		}
-		others := s.reserved[op.program] - op.tokens
-		if s.state.committed(op.program, op.record.GetBegin().GetAttempt())+others+op.tokens > op.budget {
+		if s.taken(op.program, op.record.GetBegin().GetAttempt())+op.tokens > op.budget {
 			s.complete(op.number, Errorf("begin turn", KindBudget, "budget of %d tokens is spent", op.budget))
 		}
 	}
@@ -504,7 +501,6 @@
 		}
 		op.kept = true
 		s.state.apply(op.record)
-		s.release(op)
 		op.finish(nil)
 	}
 }
--- a/turn/state.go
+++ b/turn/state.go
@@ -69,6 +69,14 @@
 	return sum
 }
 
+// open returns the attempts of a program that are not settled, with their tokens.
+func (s *state) open(id string) map[string]int64 {
+	if p, ok := s.programs[id]; ok {
+		return p.open
+	}
+	return nil
+}
+
 // apply takes over a record; applying one twice changes nothing.
 func (s *state) apply(r *turnpb.Record) {
 	at := time.UnixMilli(r.GetWrittenMs())
