Write logs within a budget in the background, and follow an identifier through them

Lines go to standard output through a ring with a writer of its own, so that a reader that stops blocks nothing (test with such a reader). The tool follows a request, turn or program through the logs of all fronts.

--- a/cmd/lavendervale/main.go
+++ b/cmd/lavendervale/main.go
@@ -55,7 +55,7 @@
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
 		HideHelpCommand: true,
 		Commands: []*cli.Command{
-			configCommand(), classCommand(), endpointCommand(), programCommand(), statusCommand(), dumpCommand(),
+			configCommand(), classCommand(), endpointCommand(), programCommand(), statusCommand(), dumpCommand(), traceCommand(),
 		},
 	}
 	refuseUsage(root)
--- a/cmd/lavendervaled/logger.go
+++ b/cmd/lavendervaled/logger.go
@@ -1,20 +1,45 @@
 package main
 
 import (
+	"os"
+	"time"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/lavendervale/lavendervale/logging"
 )
 
-// newLogger returns a logger of a level that writes json or console lines.
+// droppedInterval is the time between two lines that tell how many were dropped.
+const droppedInterval = 5 * time.Second
+
+// newLogger returns a logger of a level that writes json or console lines to
+// standard output.
 func newLogger(level, format string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(l)
-	c.Encoding = format
-	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	c.DisableStacktrace = true
-	return c.Build()
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoder := zapcore.NewJSONEncoder(config)
+	if format == "console" {
+		encoder = zapcore.NewConsoleEncoder(config)
+	}
+	out := logging.NewWriter(os.Stdout)
+	core, dropped := logging.NewCore(zapcore.NewCore(encoder, out, l), logging.Config{Ordinary: logging.DefaultOrdinary, Other: logging.DefaultOther})
+	logger := zap.New(core)
+	go reportDropped(logger, func() int64 { return dropped() + out.Dropped() })
+	return logger, nil
+}
+
+// reportDropped tells how many lines were dropped, when some were.
+func reportDropped(logger *zap.Logger, dropped func() int64) {
+	before := int64(0)
+	for range time.Tick(droppedInterval) {
+		if n := dropped(); n > before {
+			logger.Info("lines dropped", zap.Int64("since_last", n-before), zap.Int64("in_all", n))
+			before = n
+		}
+	}
 }
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -55,6 +55,7 @@
 // runFront runs a front until ctx ends.
 func runFront(ctx context.Context, path string, c daemon.FrontConfig, logger *zap.Logger) error {
 	c.Logger = logger
+	defer func() { _ = logger.Sync() }()
 	f, err := daemon.NewFront(c)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
--- /dev/null
+++ b/logging/doc.go
@@ -0,0 +1,3 @@
+// Package logging writes structured lines within a budget and never blocks the
+// process that logs.
+package logging
--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,60 @@
+package logging_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/lavendervale/lavendervale/logging"
+)
+
+// stuck is a reader that stops reading.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(p)
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w := logging.NewWriter(out)
+	line := append(bytes.Repeat([]byte("x"), 1023), '\n')
+	for range 5000 {
+		n, err := w.Write(line)
+		require.NoError(t, err)
+		require.Equal(t, len(line), n)
+	}
+	require.Positive(t, w.Dropped())
+	close(out.release)
+}
+
+func TestBudgetKeepsWhatExplainsFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, lines := observer.New(zapcore.InfoLevel)
+		core, dropped := logging.NewCore(inner, logging.Config{Ordinary: 5, Other: 50})
+		log := zap.New(core).With(zap.String("instance", "front-1"))
+		for i := range 100 {
+			log.Info("request", zap.String("request", fmt.Sprint(i)), zap.String("outcome", "answered"))
+		}
+		for i := range 40 {
+			log.Info("request", zap.String("request", fmt.Sprint(i)), zap.String("outcome", "refused"))
+		}
+		require.Equal(t, 5, lines.FilterField(zap.String("outcome", "answered")).Len())
+		require.Equal(t, 40, lines.FilterField(zap.String("outcome", "refused")).Len())
+		require.EqualValues(t, 95, dropped())
+	})
+}
