Find the other fronts at once after a start

After a final fault fronts waited up to half a second for the next datagram to silent fronts. The first two seconds of datagrams now go to all.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -18,6 +18,9 @@
 	gossipInterval = 100 * time.Millisecond
 	// searchEvery is how many rounds pass between datagrams to silent fronts.
 	searchEvery = 5
+	// searchRounds is how many rounds after the start go to all fronts, since all may
+	// have started just now.
+	searchRounds = 20
 	// maxDatagram bounds a datagram.
 	maxDatagram = 32 << 10
 )
@@ -27,7 +30,7 @@
 	t := time.NewTicker(gossipInterval)
 	defer t.Stop()
 	for round := 0; ; round++ {
-		m.sendGossip(round%searchEvery == 0)
+		m.sendGossip(round < searchRounds || round%searchEvery == 0)
 		select {
 		case <-ctx.Done():
 			m.leaving.Store(true)
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -71,7 +71,7 @@
 	// peersPause and peersWait bound the wait until half of them are heard of: a front
 	// that knows no other would take all shards for its own.
 	peersTimeout = 2 * time.Second
-	peersPause   = 250 * time.Millisecond
+	peersPause   = 150 * time.Millisecond
 	peersWait    = 1500 * time.Millisecond
 	// readyCheck is the time between two looks whether the front is ready.
 	readyCheck = 50 * time.Millisecond
