--- a/daemon/front.go
+++ b/daemon/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -133,7 +134,7 @@
 	c := f.config
 	f.store = platform.NewStore(platform.StoreConfig{Address: c.Store, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
 	f.homes = turn.New(turn.Config{
-		Writer: f.number, Shards: c.Shards, Log: f.store.Turns(), Keeper: f.mesh, Find: f.mesh.Find, Logger: c.Logger,
+		Writer: rand.Uint64(), Shards: c.Shards, Log: f.store.Turns(), Keeper: f.mesh, Find: f.mesh.Find, Logger: c.Logger,
 		Gap: gap(c), Linger: turn.DefaultLinger, Timeout: turn.DefaultTimeout, KeepAfter: turn.DefaultKeepAfter, OutageAfter: turn.DefaultOutageAfter, Home: f.mesh.Home, Incumbency: turn.DefaultIncumbency,
 	})
 	f.mesh.Attach(f.homes, f.store)
--- a/turn/homes.go
+++ b/turn/homes.go
@@ -36,7 +36,8 @@
 
 // Config describes Homes.
 type Config struct {
-	// Writer is the number of this life of the process.
+	// Writer is a random number of this life of the process: by it a process tells its
+	// own records in the log from those of others, so a clock won't do.
 	Writer uint64
 	// Shards is the number of shards of the log.
 	Shards int
--- a/turn/homes_test.go
+++ b/turn/homes_test.go
@@ -242,6 +242,21 @@
 	})
 }
 
+// TestRecordsOfAnotherWriterConfirmNothing is the case of two processes that start
+// at the same nanosecond and number their records alike.
+func TestRecordsOfAnotherWriterConfirmNothing(t *testing.T) {
+	inSite(t, func(t *testing.T, s *site) {
+		first, second := s.homes(), s.homes()
+		require.NoError(t, second.Load(t.Context(), turn.ShardOf("p", 4)))
+		require.NoError(t, first.End(t.Context(), turn.EndRequest{Program: "p", Attempt: "a", Keep: keep("", "one")}))
+		require.NoError(t, second.End(t.Context(), turn.EndRequest{Program: "p", Attempt: "b", Keep: keep("", "two")}))
+		for _, id := range []string{"a", "b"} {
+			_, err := s.homes().Begin(t.Context(), turn.BeginRequest{Program: "p", Attempt: "x" + id, Previous: id})
+			require.NoError(t, err, id)
+		}
+	})
+}
+
 func TestEndBeforeItsBeginningReleases(t *testing.T) {
 	inSite(t, func(t *testing.T, s *site) {
 		require.NoError(t, s.homes().End(t.Context(), turn.EndRequest{Program: "p", Attempt: "a"}))
