Report requests that end their endpoints, bound the endpoints that rest, test the parts

Nothing reported a crash: fronts shared a list that stayed empty. A front now looks whether an endpoint that broke off still takes connections, and counts the request if not; after the third all fronts refuse it (test over two fronts). At most half of a service's endpoints rest at once.

--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -72,7 +72,6 @@
 	started  chan struct{}
 	homes    *turn.Homes
 	store    Store
-	active   sync.WaitGroup
 }
 
 // New opens the sockets of a mesh.
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -422,3 +422,44 @@
 	require.NoError(t, err)
 	require.Equal(t, 200, status, body)
 }
+
+func TestRequestThatCrashesEndpointsIsRefusedByAll(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t)
+	fronts := []*testFront{s.front(), s.front()}
+	s.store.Put("keyed.servers", "shop-1", nil)
+	s.store.Put("keyed.servers", "shop-2", nil)
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = bufio.NewReader(conn).ReadString('\n')
+			_ = l.Close()
+			_ = conn.Close()
+		}()
+		s.announce(fmt.Sprintf("crash-%d", i), "shop", l.Addr().String(), "ready")
+		require.Eventually(t, func() bool {
+			status, _, _, err := fronts[0].ask(t, http.MethodPost, "/pay/1", fmt.Sprintf("try-%d", i), "deadly")
+			return err == nil && status == 502
+		}, patience, 50*time.Millisecond)
+		s.store.Put("keyed.servers", fmt.Sprintf("crash-%d", i), nil)
+	}
+	w := s.worker("shop-9", "shop", false)
+	for _, f := range fronts {
+		require.Eventually(t, func() bool {
+			status, _, body, err := f.ask(t, http.MethodPost, "/pay/1", "again", "deadly")
+			return err == nil && status == 503 && strings.Contains(body, "crashed")
+		}, patience, 20*time.Millisecond)
+		require.Eventually(t, func() bool {
+			status, _, _, err := f.ask(t, http.MethodPost, "/pay/1", "other", "harmless")
+			return err == nil && status == 200
+		}, patience, 20*time.Millisecond)
+	}
+	for _, run := range w.Runs() {
+		require.Equal(t, "harmless", run.Body)
+	}
+}
--- /dev/null
+++ b/endpoint/directory_test.go
@@ -0,0 +1,144 @@
+package endpoint_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavendervale/lavendervale/endpoint"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func entry(id string) endpoint.Entry {
+	return endpoint.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "a", Slots: 2}
+}
+
+func query() endpoint.Query { return endpoint.Query{Service: "s", Near: "a"} }
+
+// filled returns a directory with endpoints e-0 to e-(n-1).
+func filled(n int) *endpoint.Directory {
+	d := endpoint.NewDirectory()
+	for i := range n {
+		d.Put(entry(fmt.Sprintf("e-%d", i)), noon)
+	}
+	return d
+}
+
+func TestPickSpreadsAndFills(t *testing.T) {
+	d := filled(3)
+	counts := map[string]int{}
+	for range 6 {
+		target, verdict := d.Pick(query(), noon)
+		require.Equal(t, endpoint.Picked, verdict)
+		counts[target.ID()]++
+	}
+	require.Equal(t, map[string]int{"e-0": 2, "e-1": 2, "e-2": 2}, counts)
+	_, verdict := d.Pick(query(), noon)
+	require.Equal(t, endpoint.Busy, verdict)
+}
+
+func TestPickCountsTheLoadOfOtherInstances(t *testing.T) {
+	d := filled(2)
+	d.Report("front-2", []endpoint.Load{{Endpoint: endpoint.Key("e-0"), Running: 2}}, noon)
+	target, _ := d.Pick(query(), noon)
+	require.Equal(t, "e-1", target.ID())
+	later := noon.Add(10 * time.Second)
+	d.Report("front-3", nil, later)
+	free, slots := d.Room("s", later)
+	require.Equal(t, 3, free, "an old report no longer counts")
+	require.Equal(t, 4, slots)
+}
+
+func TestEndpointsThatLeave(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(d *endpoint.Directory, now time.Time)
+		after  time.Duration
+		usable bool
+	}{
+		{name: "draining", change: func(d *endpoint.Directory, now time.Time) {
+			e := entry("e-0")
+			e.State = endpoint.Draining
+			d.Put(e, now)
+		}},
+		{name: "entry gone", change: func(d *endpoint.Directory, now time.Time) { d.Remove("e-0", now) }},
+		{name: "entry gone in an outage of the store", usable: true, change: func(d *endpoint.Directory, now time.Time) {
+			d.StoreAway()
+			d.Remove("e-0", now)
+		}},
+		{name: "entry missing just after the outage", usable: true, after: time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.StoreAway()
+			d.StoreBack(now)
+			d.Remove("e-0", now)
+		}},
+		{name: "entry still missing after the outage", after: 3 * time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.StoreAway()
+			d.StoreBack(now)
+			d.Remove("e-0", now)
+		}},
+		{name: "entry back", usable: true, change: func(d *endpoint.Directory, now time.Time) {
+			d.Remove("e-0", now)
+			d.Put(entry("e-0"), now)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := filled(1)
+			target, _ := d.Pick(query(), noon)
+			test.change(d, noon)
+			require.Equal(t, test.usable, d.Usable(target, noon.Add(test.after)))
+		})
+	}
+}
+
+func TestIncarnationsUnderOneIdentifier(t *testing.T) {
+	d := endpoint.NewDirectory()
+	e := entry("e-0")
+	e.Born = 200
+	d.Put(e, noon)
+	_, verdict := d.Pick(query(), noon)
+	require.Equal(t, endpoint.Picked, verdict)
+	e.Born = 300
+	require.True(t, d.Put(e, noon), "it has started again and holds nothing")
+	free, _ := d.Room("s", noon)
+	require.Equal(t, 2, free)
+	e.Born = 200
+	require.False(t, d.Put(e, noon), "an entry of the incarnation before")
+}
+
+func TestFailingEndpointsRestButNotAll(t *testing.T) {
+	d := filled(4)
+	targets := map[string]endpoint.Target{}
+	for range 8 {
+		target, _ := d.Pick(query(), noon)
+		targets[target.ID()] = target
+	}
+	for _, target := range targets {
+		d.Done(target)
+		d.Done(target)
+	}
+	d.Failed(targets["e-0"], true, noon)
+	for range 3 {
+		d.Failed(targets["e-1"], false, noon)
+	}
+	for range 4 {
+		target, _ := d.Pick(query(), noon)
+		require.NotContains(t, []string{"e-0", "e-1"}, target.ID())
+		d.Done(target)
+	}
+	d.Failed(targets["e-2"], true, noon)
+	picked := map[string]bool{}
+	for range 60 {
+		target, verdict := d.Pick(query(), noon)
+		require.Equal(t, endpoint.Picked, verdict)
+		picked[target.ID()] = true
+		d.Done(target)
+	}
+	require.Len(t, picked, 4, "with most endpoints resting, none does")
+	back := noon.Add(10 * time.Second)
+	target, verdict := d.Pick(query(), back)
+	require.Equal(t, endpoint.Picked, verdict, target.ID())
+}
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -51,29 +51,38 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := d.services[q.Service]
-	best, verdict := d.pick(list, q, now, false)
+	best, verdict := d.pick(list, q, now, d.mayRest(list, now))
+	if best == nil && verdict == None {
+		best, verdict = d.pick(list, q, now, false)
+	}
 	if best == nil {
-		var second Verdict
-		if best, second = d.pick(list, q, now, true); best == nil {
-			if verdict == Busy || second == Busy {
-				return Target{}, Busy
-			}
-			return Target{}, None
-		}
+		return Target{}, verdict
 	}
 	best.running++
 	return Target{entry: best.entry, key: best.key}, Picked
 }
 
-// pick returns the least busy endpoint; resting ones count only in a second try.
-func (d *Directory) pick(list []*Endpoint, q Query, now time.Time, resting bool) (*Endpoint, Verdict) {
-	var best *Endpoint
-	lowest, verdict := 0.0, None
+// mayRest reports whether few enough endpoints rest to do without them.
+func (d *Directory) mayRest(list []*Endpoint, now time.Time) bool {
+	usable, resting := 0, 0
 	for _, e := range list {
-		if !d.usable(e, now) || q.Avoid[e.entry.ID] {
+		if !d.usable(e, now) {
 			continue
 		}
-		if e.health.resting(now) != resting {
+		usable++
+		if e.health.resting(now) {
+			resting++
+		}
+	}
+	return float64(resting) <= maxRestingShare*float64(usable)
+}
+
+// pick returns the least busy endpoint, without those that rest if skip is set.
+func (d *Directory) pick(list []*Endpoint, q Query, now time.Time, skip bool) (*Endpoint, Verdict) {
+	var best *Endpoint
+	lowest, verdict := 0.0, None
+	for _, e := range list {
+		if !d.usable(e, now) || q.Avoid[e.entry.ID] || (skip && e.health.resting(now)) {
 			continue
 		}
 		if e.load() >= e.entry.Slots+q.Depth {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,8 @@
 const (
 	// defaultDeadline bounds a request whose caller and route name no bound.
 	defaultDeadline = 60 * time.Second
+	// crashProbe bounds the look whether an endpoint has ended with a request.
+	crashProbe = 300 * time.Millisecond
 	// answerMargin is kept of a route's timeout for the answer's own way.
 	answerMargin = 5 * time.Millisecond
 	// callsPause is when a caller may come back after a refusal without a forecast.
@@ -68,7 +70,6 @@
 	target   endpoint.Target
 	queued   time.Duration
 	first    time.Duration
-	tokens   int64
 	begun    bool
 	events   int
 }
@@ -116,10 +117,15 @@
 	return d
 }
 
-// digest identifies what a caller asks for, over its attempts.
+// digest identifies what a caller asks for, over its attempts; requests without a
+// body are told apart by their program.
 func digest(r *Request) uint64 {
 	h := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.Target, r.Program} {
+	caller := ""
+	if len(r.Body) == 0 {
+		caller = r.Program + "/" + r.Session
+	}
+	for _, part := range []string{r.Method, r.Host, r.Target, caller} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
@@ -169,10 +175,26 @@
 	kind := KindOf(err)
 	c.Directory.Failed(c.target, kind == KindUnreachable, now)
 	c.Metrics.failures.WithLabelValues(kindName(kind)).Inc()
+	if kind == KindReset || kind == KindBroken {
+		go c.suspect(c.target)
+	}
 	c.Logger.Warn("endpoint failed", zap.String("request", c.request.ID), zap.String("endpoint", c.target.ID()),
 		zap.String("address", c.target.Address()), zap.Int("events", c.events), zap.Error(err))
 }
 
+// suspect looks whether the endpoint that broke off has ended with the request; a
+// connection that was lost alone says nothing against it.
+func (c *call) suspect(target endpoint.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbe)
+	defer cancel()
+	if c.Endpoints.Alive(ctx, target) {
+		return
+	}
+	c.Suspects.Crashed(c.digest, xxhash.Sum64String(c.request.ID))
+	c.Logger.Warn("request may have crashed its endpoint", zap.String("request", c.request.ID), zap.Uint64("digest", c.digest),
+		zap.String("endpoint", target.ID()))
+}
+
 // log leaves the line of a request.
 func (c *call) log(outcome string, status int, reason string) {
 	r := c.request
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -30,6 +30,8 @@
 	// Send sends a request and returns the head of the answer; an error of
 	// KindNotSent means that the endpoint can't have seen the request.
 	Send(ctx context.Context, t endpoint.Target, d Dispatch) (Answer, error)
+	// Alive reports whether an endpoint still takes connections.
+	Alive(ctx context.Context, t endpoint.Target) bool
 }
 
 // Answer is the answer of an endpoint; its holder must call Close.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -300,7 +300,11 @@
 		return nil
 	}
 	s.sent = true
-	if err := s.ticket.Wait(ctx); err != nil {
+	err := s.ticket.Wait(ctx)
+	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		return errors.Join(errCaller, err)
+	}
+	if err != nil {
 		s.refuse(s.call, s.out, Refusal{Status: http.StatusBadGateway, Reason: "turn could not be recorded: " + err.Error()})
 		return errAnswered
 	}
