--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -21,6 +21,9 @@
 	// searchRounds is how many rounds after the start go to all fronts, since all may
 	// have started just now.
 	searchRounds = 20
+	// storeLostAfter is how long the store must be away for a front to give its shards
+	// to fronts that reach it; until then it works through them.
+	storeLostAfter = 1500 * time.Millisecond
 	// maxDatagram bounds a datagram.
 	maxDatagram = 32 << 10
 )
@@ -43,9 +46,11 @@
 
 // sendGossip sends one datagram to each front.
 func (m *Mesh) sendGossip(all bool) {
+	lost := m.config.StoreAway() > storeLostAfter
+	m.table.setStoreLost(lost)
 	g := &meshpb.Gossip{
 		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.sequence.Add(1),
-		Weight: m.config.Weight, Leaving: m.leaving.Load(), Starting: m.starting.Load(), Crashes: m.crashes.recent(time.Now()),
+		Weight: m.config.Weight, Leaving: m.leaving.Load(), Starting: m.starting.Load(), StoreLost: lost, Crashes: m.crashes.recent(time.Now()),
 	}
 	for _, l := range m.config.Directory.Loads() {
 		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running)})
@@ -112,6 +117,6 @@
 		return false
 	}
 	p.incarnation, p.sequence = g.GetIncarnation(), g.GetSequence()
-	p.address, p.domain, p.weight, p.leaving, p.starting, p.heard = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), now
+	p.address, p.domain, p.weight, p.leaving, p.starting, p.storeLost, p.heard = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), g.GetStoreLost(), now
 	return true
 }
--- a/adapter/mesh/held.go
+++ b/adapter/mesh/held.go
@@ -231,8 +231,12 @@
 // StoreCall makes a call of the platform's store through another front.
 func (m *Mesh) StoreCall(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
 	last := error(Errorf("relay store call", KindUnreachable, "no other front is heard of"))
-	for i, t := range m.spread(time.Now()) {
-		if i == maxRelays {
+	asked := 0
+	for _, t := range m.spread(time.Now()) {
+		if t.storeLost {
+			continue
+		}
+		if asked++; asked > maxRelays {
 			break
 		}
 		reply, err := m.ask(ctx, t, &meshpb.Request{Body: &meshpb.Request_Store{Store: &meshpb.StoreCall{Method: method, Target: target, Body: body}}}, answerTimeout)
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -47,6 +47,8 @@
 	Shards int
 	// Directory takes the load of other fronts.
 	Directory *endpoint.Directory
+	// StoreAway returns for how long this front has not reached the store.
+	StoreAway func() time.Duration
 	// Logger takes what happens between fronts.
 	Logger *zap.Logger
 }
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -31,6 +31,7 @@
 	weight      float64
 	leaving     bool
 	starting    bool
+	storeLost   bool
 	heard       time.Time
 	learned     time.Time
 	distrusted  time.Time
@@ -43,10 +44,12 @@
 
 // table holds the other fronts.
 type table struct {
-	mu    sync.Mutex
-	self  string
-	own   float64
-	peers map[string]*peer
+	mu   sync.Mutex
+	self string
+	own  float64
+	// storeLost is set while this front can't reach the store by itself.
+	storeLost bool
+	peers     map[string]*peer
 }
 
 func newTable(self string, weight float64) *table {
@@ -82,9 +85,21 @@
 
 // target is a front to ask.
 type target struct {
-	name    string
-	address string
-	domain  string
+	name      string
+	address   string
+	domain    string
+	storeLost bool
+}
+
+func (p *peer) target() target {
+	return target{name: p.name, address: p.address, domain: p.domain, storeLost: p.storeLost}
+}
+
+// setStoreLost notes whether this front can't reach the store.
+func (t *table) setStoreLost(lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.storeLost = lost
 }
 
 // alive returns the fronts that are heard of, those that leave last.
@@ -97,10 +112,10 @@
 			continue
 		}
 		if p.leaving {
-			leaving = append(leaving, target{p.name, p.address, p.domain})
+			leaving = append(leaving, p.target())
 			continue
 		}
-		out = append(out, target{p.name, p.address, p.domain})
+		out = append(out, p.target())
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
 	return append(out, leaving...)
@@ -141,11 +156,34 @@
 }
 
 // home returns the front that a shard belongs to, by weighted rendezvous hashing
-// over the fronts alive; this one counts only with self, or when there is no other. Fronts that start count
-// only with starting.
+// over the fronts alive; this one counts only with self, or when there is no other.
+// Fronts that start count only with starting, and those without the store only when
+// no front has it.
 func (t *table) home(shard int, now time.Time, self, starting bool) target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.anyStore(now, self, starting) {
+		return t.homeAmong(shard, now, self && !t.storeLost, starting, true)
+	}
+	return t.homeAmong(shard, now, self, starting, false)
+}
+
+// anyStore reports whether a front that may be a home reaches the store.
+func (t *table) anyStore(now time.Time, self, starting bool) bool {
+	if self && !t.storeLost {
+		return true
+	}
+	for _, p := range t.peers {
+		if p.counts(now, starting) && !p.storeLost {
+			return true
+		}
+	}
+	return false
+}
+
+// homeAmong returns the home among the fronts alive, with withStore only among those
+// that reach the store; mu is held.
+func (t *table) homeAmong(shard int, now time.Time, self, starting, withStore bool) target {
 	least := t.heaviest(now, self, starting) * minHomeShare
 	best := target{name: t.self}
 	highest := math.Inf(-1)
@@ -153,11 +191,11 @@
 		highest = score(t.self, shard, t.own)
 	}
 	for _, p := range t.peers {
-		if !p.counts(now, starting) || p.weight < least {
+		if !p.counts(now, starting) || p.weight < least || (withStore && p.storeLost) {
 			continue
 		}
 		if s := score(p.name, shard, p.weight); s > highest {
-			best, highest = target{p.name, p.address, p.domain}, s
+			best, highest = p.target(), s
 		}
 	}
 	return best
--- a/adapter/mesh/table_test.go
+++ b/adapter/mesh/table_test.go
@@ -44,6 +44,17 @@
 	require.NotContains(t, homes(tab, false), "front-0")
 }
 
+func TestFrontsWithoutTheStoreAreHomesOnlyWhenNoneHasIt(t *testing.T) {
+	tab := newTable("front-0", 0.8)
+	hear(tab, "front-1", 0.8, nil)
+	hear(tab, "cut", 0.8, func(g *meshpb.Gossip) { g.StoreLost = true })
+	require.NotContains(t, homes(tab, true), "cut")
+	tab.setStoreLost(true)
+	require.Equal(t, map[string]int{"front-1": 240}, homes(tab, true))
+	hear(tab, "front-1", 0.8, func(g *meshpb.Gossip) { g.Sequence, g.StoreLost = 2, true })
+	require.Len(t, homes(tab, true), 3, "in an outage for all the homes stay what they were")
+}
+
 func TestAllFrontsAgreeOnHomes(t *testing.T) {
 	first, second := newTable("front-1", 0.8), newTable("front-2", 0.8)
 	hear(first, "front-2", 0.8, nil)
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -119,7 +119,7 @@
 	}
 	f.mesh, err = mesh.New(mesh.Config{
 		Name: c.Name, Domain: c.Domain, Incarnation: f.number, Weight: max(0.01, c.Processors), Address: c.Peers, Shards: c.Shards,
-		Directory: f.directory, Logger: c.Logger,
+		Directory: f.directory, Logger: c.Logger, StoreAway: func() time.Duration { return f.store.Away() },
 	})
 	if err != nil {
 		_ = listeners[0].Close()
