--- a/turn/state.go
+++ b/turn/state.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// text returns the conversation up to a turn.
+// conversation returns the text up to a turn.
 func (n *node) conversation() []byte {
 	size := 0
 	for a := n; a != nil; a = a.parent {
