--- a/adapter/inifile/settings_test.go
+++ b/adapter/inifile/settings_test.go
@@ -96,6 +96,7 @@
 		{file: "settings-entry.ini", read: readSettings},
 		{file: "settings-engine.ini", read: readSettings},
 		{file: "settings-service.ini", read: readSettings},
+		{file: "settings-front.ini", read: readSettings},
 		{file: "quote.ini", read: readScript},
 		{file: "survey.ini", read: readScript},
 		{file: "tally.ini", read: readScript},
