End a front whose listener fails

The stack dump shows Front.Run waiting for the ingress, which nothing closes when another listener fails; the process would stay up without serving its readiness. Ruled out: slowness, since the goroutines had waited nine minutes without work.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -183,6 +183,9 @@
 		f.leave()
 	case err = <-failed:
 		c.Logger.Error("front fails", zap.Error(err))
+		stop, done := context.WithTimeout(context.Background(), graceMargin)
+		f.ingress.Close(stop)
+		done()
 	}
 	cancel()
 	for _, s := range closers {
