Refuse at a stopping front what could not end, and open its sockets at the start

Ruled out: a front that hangs; its requests were served until the process ended.

Change: three seconds after SIGTERM a front refuses, as not run, requests whose deadline is beyond its end, and it keeps an eighth of the grace for the end instead of 1.5 s.

A front opens all its sockets at the start and fails there; the tests let the system choose the ports.

--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -27,6 +27,8 @@
 	copies = 3
 	// minCopies is the number that must have taken the record.
 	minCopies = 2
+	// maxPortTries bounds the ports that are tried when the system chooses one.
+	maxPortTries = 20
 	// adoptInterval is the time between two looks for copies whose front is gone.
 	adoptInterval = 500 * time.Millisecond
 )
@@ -78,14 +80,9 @@
 
 // New opens the sockets of a mesh.
 func New(c Config) (*Mesh, error) {
-	listener, err := net.Listen("tcp", c.Address)
+	listener, packets, err := openSockets(c.Address)
 	if err != nil {
-		return nil, Errorf("listen to fronts", KindUnreachable, "%w", err)
-	}
-	packets, err := net.ListenPacket("udp", listener.Addr().String())
-	if err != nil {
-		_ = listener.Close()
-		return nil, Errorf("listen to fronts", KindUnreachable, "%w", err)
+		return nil, err
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	m := &Mesh{
@@ -99,6 +96,30 @@
 	return m, nil
 }
 
+// openSockets opens the sockets for connections and datagrams on one port; when the
+// system chooses it, another choice may be needed for a port that is free for both.
+func openSockets(address string) (net.Listener, net.PacketConn, error) {
+	const op = "listen to fronts"
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, nil, Errorf(op, KindUnreachable, "%w", err)
+	}
+	for try := 1; ; try++ {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, nil, Errorf(op, KindUnreachable, "%w", err)
+		}
+		packets, err := net.ListenPacket("udp", listener.Addr().String())
+		if err == nil {
+			return listener, packets, nil
+		}
+		_ = listener.Close()
+		if port != "0" || try == maxPortTries {
+			return nil, nil, Errorf(op, KindUnreachable, "%w", err)
+		}
+	}
+}
+
 // Attach gives the mesh what it serves to other fronts; it must be called before Run.
 func (m *Mesh) Attach(h *turn.Homes, s Store) { m.homes, m.store = h, s }
 
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -61,8 +61,12 @@
 	memoryShare = 0.7
 	// writeShare is the part of the store's rate that the records of turns may take.
 	writeShare = 0.75
-	// graceMargin is kept of the grace for the end of the process.
-	graceMargin = 1500 * time.Millisecond
+	// graceMargin is the share of the grace that is kept for the end of the process; the
+	// platform excuses requests that are cut off in the last sixth.
+	graceMargin = 1.0 / 8
+	// leaveServe is how long after a request to stop new requests are taken as before:
+	// the platform goes on sending callers for two to three seconds.
+	leaveServe = 3 * time.Second
 	// maxLeave bounds how long a process without requests waits for callers that
 	// still have a connection; the platform stops sending new ones in two seconds.
 	maxLeave = 5 * time.Second
@@ -79,6 +83,8 @@
 	// isolated is how long neither the store nor another front may answer before the
 	// front asks for no new callers.
 	isolated = 1500 * time.Millisecond
+	// readHeaderTimeout bounds the head of a question for readiness or metrics.
+	readHeaderTimeout = 2 * time.Second
 	// registerTimeout bounds the entry at the end of the process.
 	registerTimeout = 500 * time.Millisecond
 )
@@ -93,6 +99,8 @@
 	homes     *turn.Homes
 	workers   *platform.Workers
 	watch     *platform.Watch
+	gateway   *gateway.Gateway
+	listeners listeners
 	ingress   *platform.Ingress
 	registry  *prometheus.Registry
 	warm      bool
@@ -113,24 +121,64 @@
 	f := &Front{
 		config: c, routes: &route.Store{}, directory: endpoint.NewDirectory(), registry: prometheus.NewRegistry(), number: newIncarnation(),
 	}
-	listeners, err := listen(c.Callers)
+	open, err := openListeners(c)
 	if err != nil {
 		return nil, err
 	}
+	f.listeners = open
 	f.mesh, err = mesh.New(mesh.Config{
 		Name: c.Name, Domain: c.Domain, Incarnation: f.number, Weight: max(0.01, c.Processors), Address: c.Peers, Shards: c.Shards,
 		Directory: f.directory, Logger: c.Logger, StoreAway: func() time.Duration { return f.store.Away() },
 	})
 	if err != nil {
-		_ = listeners[0].Close()
+		open.close()
 		return nil, err
 	}
-	f.assemble(listeners[0])
+	f.assemble()
 	return f, nil
 }
 
+// listeners are the sockets that a front takes connections on.
+type listeners struct {
+	callers net.Listener
+	ready   net.Listener
+	// metrics is nil when metrics are served nowhere.
+	metrics net.Listener
+}
+
+// openListeners opens the sockets of a front, all or none.
+func openListeners(c FrontConfig) (listeners, error) {
+	addresses := []string{c.Callers, c.Ready}
+	if c.Metrics != "" {
+		addresses = append(addresses, c.Metrics)
+	}
+	open, err := listen(addresses...)
+	if err != nil {
+		return listeners{}, err
+	}
+	l := listeners{callers: open[0], ready: open[1]}
+	if c.Metrics != "" {
+		l.metrics = open[2]
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.ready, l.metrics} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// CallersAddress returns where the front listens to callers.
+func (f *Front) CallersAddress() string { return f.listeners.callers.Addr().String() }
+
+// ReadyAddress returns where the front answers whether it is ready.
+func (f *Front) ReadyAddress() string { return f.listeners.ready.Addr().String() }
+
 // assemble joins the parts of the process.
-func (f *Front) assemble(callers net.Listener) {
+func (f *Front) assemble() {
 	c := f.config
 	f.store = platform.NewStore(platform.StoreConfig{Address: c.Store, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
 	f.homes = turn.New(turn.Config{
@@ -140,11 +188,11 @@
 	f.mesh.Attach(f.homes, f.store)
 	f.workers = platform.NewWorkers(f.registry)
 	f.watch = platform.NewWatch(platform.WatchConfig{Store: f.store, Routes: f.routes, Directory: f.directory, Peers: f.mesh.Learn, Logger: c.Logger})
-	g := gateway.New(gateway.Config{
+	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Endpoints: f.workers,
 		Ledger: f.mesh, Suspects: f.mesh, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
-	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: callers, Handler: g, Routes: f.routes, Logger: c.Logger})
+	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Logger: c.Logger})
 }
 
 // gap returns the time between two appends of a shard by which all shards
@@ -173,9 +221,9 @@
 	work.Go(func() { f.register(inner) })
 	work.Go(func() { f.prepare(inner) })
 	work.Go(func() { failed <- f.ingress.Serve() })
-	closers := []*http.Server{f.serveHTTP(c.Ready, f.readyHandler(), failed)}
-	if c.Metrics != "" {
-		closers = append(closers, f.serveHTTP(c.Metrics, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), failed))
+	closers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), failed)}
+	if l := f.listeners.metrics; l != nil {
+		closers = append(closers, serveHTTP(l, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), failed))
 	}
 	var err error
 	select {
@@ -183,7 +231,7 @@
 		f.leave()
 	case err = <-failed:
 		c.Logger.Error("front fails", zap.Error(err))
-		stop, done := context.WithTimeout(context.Background(), graceMargin)
+		stop, done := context.WithTimeout(context.Background(), f.margin())
 		f.ingress.Close(stop)
 		done()
 	}
@@ -196,10 +244,10 @@
 	return err
 }
 
-func (f *Front) serveHTTP(address string, h http.Handler, failed chan<- error) *http.Server {
-	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: 2 * time.Second}
+func serveHTTP(l net.Listener, h http.Handler, failed chan<- error) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
-		if err := s.ListenAndServe(); err != http.ErrServerClosed {
+		if err := s.Serve(l); err != http.ErrServerClosed {
 			failed <- err
 		}
 	}()
@@ -271,9 +319,16 @@
 	})
 }
 
+// margin is what is kept of the grace for the end of the process.
+func (f *Front) margin() time.Duration {
+	return time.Duration(graceMargin * float64(f.config.Grace))
+}
+
 // leave lets callers go elsewhere and serves on until none is left or the grace ends.
 func (f *Front) leave() {
 	started := time.Now()
+	grace := f.config.Grace - f.margin()
+	f.gateway.Leave(started.Add(leaveServe), started.Add(grace))
 	f.mu.Lock()
 	f.leaving = true
 	f.mu.Unlock()
@@ -287,14 +342,13 @@
 			f.config.Logger.Warn("front not unregistered", zap.Error(err))
 		}
 	}()
-	grace := f.config.Grace - graceMargin
 	for time.Since(started) < grace {
 		if time.Since(started) > min(maxLeave, grace) && f.ingress.Active() == 0 {
 			break
 		}
 		time.Sleep(readyCheck)
 	}
-	stop, done := context.WithTimeout(context.Background(), max(0, grace-time.Since(started))+graceMargin/3)
+	stop, done := context.WithTimeout(context.Background(), max(0, grace-time.Since(started))+f.margin()/3)
 	defer done()
 	f.ingress.Close(stop)
 	f.homes.Flush(stop)
--- a/daemon/front_fail_test.go
+++ b/daemon/front_fail_test.go
@@ -11,17 +11,31 @@
 	"github.com/lavendervale/lavendervale/daemon"
 )
 
-// TestFrontEndsWhenAListenerFails is the hang of a CI run beside busy processes: a
-// port was taken by another test between its choice and its use.
-func TestFrontEndsWhenAListenerFails(t *testing.T) {
+// TestFrontThatCannotListenDoesNotStart is the hang of a CI run beside busy processes: a
+// port was taken by another test between its choice and its use, and the front went on
+// without its readiness address.
+func TestFrontThatCannotListenDoesNotStart(t *testing.T) {
 	t.Parallel()
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer taken.Close()
-	f, err := daemon.NewFront(daemon.FrontConfig{
-		Name: "front-1", Domain: "a", Callers: "127.0.0.1:0", Ready: taken.Addr().String(), Peers: "127.0.0.1:0",
-		Store: "127.0.0.1:1", Shards: 4, Processors: 1, Grace: 4 * time.Second, Logger: zap.NewNop(),
-	})
-	require.NoError(t, err)
-	require.Error(t, f.Run(t.Context()))
+	free := "127.0.0.1:0"
+	tests := []struct {
+		name                           string
+		callers, ready, peers, metrics string
+	}{
+		{name: "callers", callers: taken.Addr().String(), ready: free, peers: free},
+		{name: "ready", callers: free, ready: taken.Addr().String(), peers: free},
+		{name: "peers", callers: free, ready: free, peers: taken.Addr().String()},
+		{name: "metrics", callers: free, ready: free, peers: free, metrics: taken.Addr().String()},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := daemon.NewFront(daemon.FrontConfig{
+				Name: "front-1", Domain: "a", Callers: test.callers, Ready: test.ready, Peers: test.peers, Metrics: test.metrics,
+				Store: "127.0.0.1:1", Shards: 4, Processors: 1, Grace: 4 * time.Second, Logger: zap.NewNop(),
+			})
+			require.Error(t, err)
+		})
+	}
 }
--- /dev/null
+++ b/daemon/front_listener_test.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// TestFrontEndsWhenAListenerFails is the hang of a CI run beside busy processes: the
+// front waited for its ingress after another listener had failed.
+func TestFrontEndsWhenAListenerFails(t *testing.T) {
+	t.Parallel()
+	free := "127.0.0.1:0"
+	f, err := NewFront(FrontConfig{
+		Name: "front-1", Domain: "a", Callers: free, Ready: free, Peers: free,
+		Store: "127.0.0.1:1", Shards: 4, Processors: 1, Grace: 4 * time.Second, Logger: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	require.NoError(t, f.listeners.ready.Close())
+	require.Error(t, f.Run(t.Context()))
+}
--- /dev/null
+++ b/daemon/front_site_test.go
@@ -0,0 +1,138 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lavendervale/lavendervale/daemon"
+	"github.com/lavendervale/lavendervale/standin/store"
+	"github.com/lavendervale/lavendervale/standin/worker"
+)
+
+const (
+	chatHost = "chat.example"
+	stampKey = "Response-Stamp"
+	// patience bounds the wait for a state that comes by itself.
+	patience = 20 * time.Second
+)
+
+// platformSite is a platform of stand-ins with fronts on it.
+type platformSite struct {
+	t       *testing.T
+	store   *store.Store
+	address string
+	engines []*worker.Worker
+	shops   []*worker.Worker
+	version int64
+	number  int
+}
+
+func newPlatformSite(t *testing.T) *platformSite {
+	s := &platformSite{t: t, store: store.New()}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	s.configure()
+	s.engines = append(s.engines, s.worker("engine-1", "llm", true), s.worker("engine-2", "llm", true))
+	s.shops = append(s.shops, s.worker("shop-1", "shop", false), s.worker("shop-2", "shop", false))
+	return s
+}
+
+// configure publishes routes; more are added by their prefixes.
+func (s *platformSite) configure(more ...string) {
+	s.version += 3
+	routes := []map[string]any{
+		{"name": "chat", "hostname": chatHost, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 8000, "service": "llm", "max_attempts": 1, "stateful": true, "retention_s": 60.0, "sticky": true},
+		{"name": "survey", "hostname": chatHost, "path_prefix": "/survey/", "kind": "streaming", "timeout_ms": 8000, "service": "llm", "max_attempts": 2, "resumable": true},
+		{"name": "look", "hostname": chatHost, "path_prefix": "/look/", "kind": "safe", "timeout_ms": 8000, "service": "shop", "max_attempts": 2},
+		{"name": "pay", "hostname": chatHost, "path_prefix": "/pay/", "kind": "unsafe", "timeout_ms": 8000, "service": "shop", "max_attempts": 1},
+	}
+	for _, prefix := range more {
+		routes = append(routes, map[string]any{"name": prefix, "hostname": chatHost, "path_prefix": prefix, "kind": "safe", "service": "shop"})
+	}
+	text, err := json.Marshal(map[string]any{
+		"version": s.version, "routes": routes,
+		"services": []map[string]any{{"name": "llm", "max_conns": 50, "engine": map[string]any{"slots": 4, "chunk_tokens": 13}}, {"name": "shop", "max_conns": 50}},
+		"limits":   map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	require.NoError(s.t, err)
+	s.store.Put("keyed.op", "config", text)
+}
+
+func (s *platformSite) worker(id, service string, engine bool) *worker.Worker {
+	w := worker.New(id, engine)
+	server := httptest.NewServer(w)
+	s.t.Cleanup(server.Close)
+	s.announce(id, service, strings.TrimPrefix(server.URL, "http://"), "ready")
+	return w
+}
+
+func (s *platformSite) announce(id, service, address, state string) {
+	s.store.Put("keyed.servers", id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, state))
+}
+
+// testFront is a front that runs.
+type testFront struct {
+	callers string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+// front starts a front and waits until it is ready.
+func (s *platformSite) front() *testFront {
+	s.number++
+	c := daemon.FrontConfig{
+		Name: fmt.Sprintf("front-%d", s.number), Domain: "a", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0",
+		Store: s.address, Shards: 4, Processors: 1, Grace: 4 * time.Second, Logger: zap.NewNop(),
+	}
+	f, err := daemon.NewFront(c)
+	require.NoError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	out := &testFront{callers: f.CallersAddress(), stop: cancel, done: make(chan error, 1)}
+	go func() { out.done <- f.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		<-out.done
+	})
+	require.Eventually(s.t, func() bool {
+		resp, err := http.Get("http://" + f.ReadyAddress() + "/api/ready")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, patience, 20*time.Millisecond)
+	return out
+}
+
+// ask sends a request and returns the answer with its whole body.
+func (f *testFront) ask(t *testing.T, method, path, id, body string, header ...string) (int, http.Header, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+f.callers+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Host = chatHost
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "5000")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(data), err
+}
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,139 +12,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/daemon"
-	"github.com/lavendervale/lavendervale/standin/store"
 	"github.com/lavendervale/lavendervale/standin/worker"
 )
 
-const (
-	chatHost = "chat.example"
-	stampKey = "Response-Stamp"
-	// patience bounds the wait for a state that comes by itself.
-	patience = 20 * time.Second
-)
-
-// platformSite is a platform of stand-ins with fronts on it.
-type platformSite struct {
-	t       *testing.T
-	store   *store.Store
-	address string
-	engines []*worker.Worker
-	shops   []*worker.Worker
-	version int64
-	number  int
-}
-
-func newPlatformSite(t *testing.T) *platformSite {
-	s := &platformSite{t: t, store: store.New()}
-	server := httptest.NewServer(s.store)
-	t.Cleanup(server.Close)
-	s.address = strings.TrimPrefix(server.URL, "http://")
-	s.configure()
-	s.engines = append(s.engines, s.worker("engine-1", "llm", true), s.worker("engine-2", "llm", true))
-	s.shops = append(s.shops, s.worker("shop-1", "shop", false), s.worker("shop-2", "shop", false))
-	return s
-}
-
-// configure publishes routes; more are added by their prefixes.
-func (s *platformSite) configure(more ...string) {
-	s.version += 3
-	routes := []map[string]any{
-		{"name": "chat", "hostname": chatHost, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 8000, "service": "llm", "max_attempts": 1, "stateful": true, "retention_s": 60.0, "sticky": true},
-		{"name": "survey", "hostname": chatHost, "path_prefix": "/survey/", "kind": "streaming", "timeout_ms": 8000, "service": "llm", "max_attempts": 2, "resumable": true},
-		{"name": "look", "hostname": chatHost, "path_prefix": "/look/", "kind": "safe", "timeout_ms": 8000, "service": "shop", "max_attempts": 2},
-		{"name": "pay", "hostname": chatHost, "path_prefix": "/pay/", "kind": "unsafe", "timeout_ms": 8000, "service": "shop", "max_attempts": 1},
-	}
-	for _, prefix := range more {
-		routes = append(routes, map[string]any{"name": prefix, "hostname": chatHost, "path_prefix": prefix, "kind": "safe", "service": "shop"})
-	}
-	text, err := json.Marshal(map[string]any{
-		"version": s.version, "routes": routes,
-		"services": []map[string]any{{"name": "llm", "max_conns": 50, "engine": map[string]any{"slots": 4, "chunk_tokens": 13}}, {"name": "shop", "max_conns": 50}},
-		"limits":   map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
-	require.NoError(s.t, err)
-	s.store.Put("keyed.op", "config", text)
-}
-
-func (s *platformSite) worker(id, service string, engine bool) *worker.Worker {
-	w := worker.New(id, engine)
-	server := httptest.NewServer(w)
-	s.t.Cleanup(server.Close)
-	s.announce(id, service, strings.TrimPrefix(server.URL, "http://"), "ready")
-	return w
-}
-
-func (s *platformSite) announce(id, service, address, state string) {
-	s.store.Put("keyed.servers", id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, state))
-}
-
-// testFront is a front that runs.
-type testFront struct {
-	callers string
-	stop    context.CancelFunc
-	done    chan error
-}
-
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
-// front starts a front and waits until it is ready.
-func (s *platformSite) front() *testFront {
-	s.number++
-	ready := freeAddress(s.t)
-	c := daemon.FrontConfig{
-		Name: fmt.Sprintf("front-%d", s.number), Domain: "a", Callers: freeAddress(s.t), Ready: ready, Peers: freeAddress(s.t),
-		Store: s.address, Shards: 4, Processors: 1, Grace: 4 * time.Second, Logger: zap.NewNop(),
-	}
-	f, err := daemon.NewFront(c)
-	require.NoError(s.t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	out := &testFront{callers: c.Callers, stop: cancel, done: make(chan error, 1)}
-	go func() { out.done <- f.Run(ctx) }()
-	s.t.Cleanup(func() {
-		cancel()
-		<-out.done
-	})
-	require.Eventually(s.t, func() bool {
-		resp, err := http.Get("http://" + ready + "/api/ready")
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	}, patience, 20*time.Millisecond)
-	return out
-}
-
-// ask sends a request and returns the answer with its whole body.
-func (f *testFront) ask(t *testing.T, method, path, id, body string, header ...string) (int, http.Header, string, error) {
-	t.Helper()
-	r, err := http.NewRequest(method, "http://"+f.callers+path, strings.NewReader(body))
-	require.NoError(t, err)
-	r.Host = chatHost
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "5000")
-	for i := 0; i+1 < len(header); i += 2 {
-		r.Header.Set(header[i], header[i+1])
-	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(r)
-	if err != nil {
-		return 0, nil, "", err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, resp.Header, string(data), err
-}
-
 func TestFrontServesEachKindOfRequest(t *testing.T) {
 	t.Parallel()
 	s := newPlatformSite(t)
@@ -171,47 +40,6 @@
 	}
 }
 
-func TestConversationGoesOnThroughAnotherFront(t *testing.T) {
-	t.Parallel()
-	s := newPlatformSite(t)
-	first, second := s.front(), s.front()
-	status, _, _, err := first.ask(t, http.MethodPost, "/chat/1", "turn-1", "one|", "Program-Id", "p", "Token-Budget", "500", "Token-Usage", "10,100")
-	require.NoError(t, err)
-	require.Equal(t, 200, status)
-	status, _, _, err = second.ask(t, http.MethodPost, "/chat/1", "turn-2", "two|", "Program-Id", "p", "Token-Budget", "500", "Token-Usage", "10,100", "Previous-Turn", "turn-1")
-	require.NoError(t, err)
-	require.Equal(t, 200, status)
-	status, _, body, err := second.ask(t, http.MethodPost, "/chat/1", "turn-3", "three|", "Program-Id", "q", "Previous-Turn", "turn-2")
-	require.NoError(t, err)
-	require.Equal(t, 200, status, body)
-	var bodies []string
-	for _, e := range s.engines {
-		for _, run := range e.Runs() {
-			bodies = append(bodies, run.Body)
-		}
-	}
-	events := "word1\nword2\nword3\n"
-	require.ElementsMatch(t, []string{"one|", "one|" + events + "two|", "one|" + events + "two|" + events + "three|"}, bodies)
-	status, _, _, err = first.ask(t, http.MethodPost, "/chat/1", "turn-4", "x", "Program-Id", "p", "Previous-Turn", "never")
-	require.NoError(t, err)
-	require.Equal(t, 404, status)
-}
-
-func TestBudgetHoldsOverFronts(t *testing.T) {
-	t.Parallel()
-	s := newPlatformSite(t)
-	fronts := []*testFront{s.front(), s.front()}
-	// The fronts must have heard that both have started, or shards change hands.
-	time.Sleep(500 * time.Millisecond)
-	var statuses []int
-	for i := range 5 {
-		status, _, _, err := fronts[i%2].ask(t, http.MethodPost, "/survey/1", fmt.Sprintf("a-%d", i), "x", "Program-Id", "p", "Token-Budget", "150", "Token-Usage", "10,60")
-		require.NoError(t, err)
-		statuses = append(statuses, status)
-	}
-	require.Equal(t, []int{200, 200, 200, 402, 402}, statuses, "three turns of 39 tokens fit, a fourth of 60 does not")
-}
-
 func TestEndpointsThatMisbehave(t *testing.T) {
 	t.Parallel()
 	tests := []struct {
@@ -406,23 +234,6 @@
 	require.NotEmpty(t, h.Get("Deadline-Ms"))
 }
 
-func TestTurnsGoOnWhileAppendsAreNotAnswered(t *testing.T) {
-	t.Parallel()
-	s := newPlatformSite(t)
-	f := s.front()
-	s.store.Set(store.LostWrites)
-	go func() {
-		time.Sleep(300 * time.Millisecond)
-		s.store.Set(store.None)
-	}()
-	status, _, body, err := f.ask(t, http.MethodPost, "/chat/1", "turn-1", "one|", "Program-Id", "p")
-	require.NoError(t, err)
-	require.Equal(t, 200, status, body)
-	status, _, body, err = f.ask(t, http.MethodPost, "/chat/1", "turn-2", "two|", "Program-Id", "p", "Previous-Turn", "turn-1")
-	require.NoError(t, err)
-	require.Equal(t, 200, status, body)
-}
-
 func TestRequestThatCrashesEndpointsIsRefusedByAll(t *testing.T) {
 	t.Parallel()
 	s := newPlatformSite(t)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,13 @@
 // Gateway serves the requests of callers.
 type Gateway struct {
 	Config
+	departure atomic.Pointer[departure]
+}
+
+// departure is when an instance that stops refuses what it could not bring to an end.
+type departure struct {
+	refuse time.Time
+	end    time.Time
 }
 
 const (
@@ -50,11 +58,25 @@
 	answerMargin = 5 * time.Millisecond
 	// callsPause is when a caller may come back after a refusal without a forecast.
 	callsPause = 150 * time.Millisecond
+	// departurePause is when a caller may come back that another instance will serve.
+	departurePause = 10 * time.Millisecond
 )
 
 // New returns a gateway.
 func New(c Config) *Gateway { return &Gateway{Config: c} }
 
+// Leave refuses, from one time on, the requests whose deadline is beyond the end of
+// the process: they would be cut off in the middle.
+func (g *Gateway) Leave(refuse, end time.Time) {
+	g.departure.Store(&departure{refuse: refuse, end: end})
+}
+
+// outlasts reports whether a request may still run when the process ends.
+func (g *Gateway) outlasts(deadline time.Time) bool {
+	d := g.departure.Load()
+	return d != nil && time.Now().After(d.refuse) && deadline.After(d.end)
+}
+
 // call is one request under way.
 type call struct {
 	*Gateway
@@ -94,6 +116,10 @@
 		g.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, Reason: "the request has crashed several endpoints"})
 		return
 	}
+	if g.outlasts(c.deadline) {
+		g.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, RetryAfter: departurePause, Reason: "the instance stops before the request's deadline"})
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	if found.Streaming() {
