--- a/endpoint/play_test.go
+++ b/endpoint/play_test.go
@@ -134,7 +134,7 @@
 	front := p.fronts[p.random.IntN(len(p.fronts))]
 	q := endpoint.Query{Service: "llm", Kind: "tally", Depth: 3, NoNear: true}
 	if p.prefer {
-		q.Prefer, q.PreferWorth = holder, time.Duration(6*float64(tokens)/playRate*float64(time.Millisecond))
+		q.Prefer, q.PreferWorth = holder, time.Duration(3*float64(tokens)/playRate*float64(time.Millisecond))
 	}
 	target, verdict := front.Pick(q, now)
 	if verdict != endpoint.Picked {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,7 +23,7 @@
 	prefillRate = 150
 	// reuse is how many reads of a prompt one read at another engine stands for: it
 	// pushes conversations out of that engine's memory, whose next turns push out more.
-	reuse = 6
+	reuse = 3
 	// settleTimeout bounds the record of a turn whose caller has its answer.
 	settleTimeout = 8 * time.Second
 	// maxPriority is the last priority of engines.
