Load a shard once for all who wait, and leave shards where they are when an outage ends

Each of 24 shards was loaded by about eight fronts: only fronts that reach the store count as homes, so the first one back became the home of all, fell behind, was distrusted, and the next one loaded them. Each request that waited for a shard read it by itself and asked 30 fronts for copies. Ruled out: the store (answers within milliseconds from 25.0 s on); budgets (402 came no more often than before the outage).

Change: fronts without the store lose their shards only when another has had it for two seconds. One request loads a shard, the others wait for it.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -47,7 +47,7 @@
 // sendGossip sends one datagram to each front.
 func (m *Mesh) sendGossip(all bool) {
 	lost := m.config.StoreAway() > storeLostAfter
-	m.table.setStoreLost(lost)
+	m.table.setStoreLost(lost, time.Now())
 	g := &meshpb.Gossip{
 		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.sequence.Add(1),
 		Weight: m.config.Weight, Leaving: m.leaving.Load(), Starting: m.starting.Load(), StoreLost: lost, Crashes: m.crashes.recent(time.Now()),
@@ -116,6 +116,9 @@
 	if g.GetIncarnation() < p.incarnation || (g.GetIncarnation() == p.incarnation && g.GetSequence() <= p.sequence) {
 		return false
 	}
+	if p.storeLost && !g.GetStoreLost() {
+		p.storeSince = now
+	}
 	p.incarnation, p.sequence = g.GetIncarnation(), g.GetSequence()
 	p.address, p.domain, p.weight, p.leaving, p.starting, p.storeLost, p.heard = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), g.GetStoreLost(), now
 	return true
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -16,6 +16,9 @@
 	lifeTime = 900 * time.Millisecond
 	// forgetTime is how long a silent front is still sent datagrams now and then.
 	forgetTime = 60 * time.Second
+	// steadyAfter is how long a front must have reached the store for the others to
+	// give it the shards of fronts that don't; all find out within a second or two.
+	steadyAfter = 2 * time.Second
 	// minHomeShare is the least weight of a home as a share of the greatest: small
 	// instances would have to move whole shards over slow links.
 	minHomeShare = 0.5
@@ -32,6 +35,7 @@
 	leaving     bool
 	starting    bool
 	storeLost   bool
+	storeSince  time.Time
 	heard       time.Time
 	learned     time.Time
 	distrusted  time.Time
@@ -47,9 +51,11 @@
 	mu   sync.Mutex
 	self string
 	own  float64
-	// storeLost is set while this front can't reach the store by itself.
-	storeLost bool
-	peers     map[string]*peer
+	// storeLost is set while this front can't reach the store by itself, storeSince is
+	// when it could again.
+	storeLost  bool
+	storeSince time.Time
+	peers      map[string]*peer
 }
 
 func newTable(self string, weight float64) *table {
@@ -96,9 +102,12 @@
 }
 
 // setStoreLost notes whether this front can't reach the store.
-func (t *table) setStoreLost(lost bool) {
+func (t *table) setStoreLost(lost bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.storeLost && !lost {
+		t.storeSince = now
+	}
 	t.storeLost = lost
 }
 
@@ -158,23 +167,25 @@
 // home returns the front that a shard belongs to, by weighted rendezvous hashing
 // over the fronts alive; this one counts only with self, or when there is no other.
 // Fronts that start count only with starting, and those without the store only when
-// no front has it.
+// no front has had it for a while: when an outage for all ends, the first front that
+// reaches the store must not become the home of every shard.
 func (t *table) home(shard int, now time.Time, self, starting bool) target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.anyStore(now, self, starting) {
+	if t.steadyStore(now, self, starting) {
 		return t.homeAmong(shard, now, self && !t.storeLost, starting, true)
 	}
 	return t.homeAmong(shard, now, self, starting, false)
 }
 
-// anyStore reports whether a front that may be a home reaches the store.
-func (t *table) anyStore(now time.Time, self, starting bool) bool {
-	if self && !t.storeLost {
+// steadyStore reports whether a front that may be a home has reached the store for a
+// while.
+func (t *table) steadyStore(now time.Time, self, starting bool) bool {
+	if self && !t.storeLost && now.Sub(t.storeSince) > steadyAfter {
 		return true
 	}
 	for _, p := range t.peers {
-		if p.counts(now, starting) && !p.storeLost {
+		if p.counts(now, starting) && !p.storeLost && now.Sub(p.storeSince) > steadyAfter {
 			return true
 		}
 	}
--- a/adapter/mesh/table_test.go
+++ b/adapter/mesh/table_test.go
@@ -49,12 +49,30 @@
 	hear(tab, "front-1", 0.8, nil)
 	hear(tab, "cut", 0.8, func(g *meshpb.Gossip) { g.StoreLost = true })
 	require.NotContains(t, homes(tab, true), "cut")
-	tab.setStoreLost(true)
+	tab.setStoreLost(true, noon)
 	require.Equal(t, map[string]int{"front-1": 240}, homes(tab, true))
 	hear(tab, "front-1", 0.8, func(g *meshpb.Gossip) { g.Sequence, g.StoreLost = 2, true })
 	require.Len(t, homes(tab, true), 3, "in an outage for all the homes stay what they were")
 }
 
+// TestFirstFrontBackAtTheStoreTakesNoShards is omuti-grown trouble-3: at the end of an
+// outage for all, every shard was loaded by eight fronts in turn.
+func TestFirstFrontBackAtTheStoreTakesNoShards(t *testing.T) {
+	tab := newTable("front-0", 0.8)
+	lost := func(sequence uint64, lost bool) func(g *meshpb.Gossip) {
+		return func(g *meshpb.Gossip) { g.Sequence, g.StoreLost = sequence, lost }
+	}
+	tab.setStoreLost(true, noon)
+	for _, name := range []string{"front-1", "front-2", "front-3"} {
+		hear(tab, name, 0.8, lost(1, true))
+	}
+	before := homes(tab, true)
+	hear(tab, "front-1", 0.8, lost(2, false))
+	require.Equal(t, before, homes(tab, true))
+	tab.setStoreLost(false, noon)
+	require.Equal(t, before, homes(tab, true))
+}
+
 func TestAllFrontsAgreeOnHomes(t *testing.T) {
 	first, second := newTable("front-1", 0.8), newTable("front-2", 0.8)
 	hear(first, "front-2", 0.8, nil)
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -42,6 +42,8 @@
 	guarded   bool
 	marks     []mark
 	reading   sync.Mutex
+	// loading holds a token while the shard is read for the first time.
+	loading chan struct{}
 }
 
 // mark remembers when an offset was written, for trimming.
@@ -53,7 +55,7 @@
 func newShard(h *Homes, number int) *shard {
 	return &shard{
 		homes: h, number: number, state: newState(), byNumber: map[uint64]*operation{},
-		sessions: map[string]string{}, mains: map[string]string{}, foreign: map[string][]byte{},
+		sessions: map[string]string{}, mains: map[string]string{}, foreign: map[string][]byte{}, loading: make(chan struct{}, 1),
 	}
 }
 
@@ -88,13 +90,19 @@
 	}
 }
 
-// load reads the shard for the first time, with what other instances hold of it.
+// load reads the shard for the first time, with what other instances hold of it;
+// requests that come meanwhile wait for the one that reads.
 func (s *shard) load(ctx context.Context) error {
-	s.mu.Lock()
-	loaded := s.loaded
-	s.used = time.Now()
-	s.mu.Unlock()
-	if loaded {
+	if s.touch() {
+		return nil
+	}
+	select {
+	case s.loading <- struct{}{}:
+		defer func() { <-s.loading }()
+	case <-ctx.Done():
+		return Errorf("load shard", KindUnavailable, "shard %d is not read in time: %w", s.number, ctx.Err())
+	}
+	if s.touch() {
 		return nil
 	}
 	started := time.Now()
@@ -104,9 +112,6 @@
 	kept := s.homes.config.Keeper.Kept(ctx, s.number)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.loaded {
-		return nil
-	}
 	s.loaded, s.confirmed = true, time.Now()
 	for _, data := range kept {
 		s.submitCopy(data)
@@ -116,6 +121,14 @@
 	return nil
 }
 
+// touch notes that the shard is in use and reports whether it is loaded.
+func (s *shard) touch() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used = time.Now()
+	return s.loaded
+}
+
 // take folds records that stand at an offset; mu is held.
 func (s *shard) take(from int64, records [][]byte) {
 	now := time.Now()
--- a/turn/turntest/log.go
+++ b/turn/turntest/log.go
@@ -35,6 +35,9 @@
 	first  map[int]int64
 	fault  Fault
 	writes int
+	reads  int
+	// delay is how long a read takes.
+	delay time.Duration
 }
 
 // NewLog returns an empty log.
@@ -54,6 +57,20 @@
 	return l.writes
 }
 
+// Slow sets how long a read takes from now on.
+func (l *Log) Slow(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// Reads returns the number of reads.
+func (l *Log) Reads() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
 // AppendAt adds records if the shard ends at an offset.
 func (l *Log) AppendAt(ctx context.Context, shard int, at int64, records [][]byte) error {
 	l.mu.Lock()
@@ -88,6 +105,11 @@
 
 // Read returns the records from an offset on.
 func (l *Log) Read(ctx context.Context, shard int, from int64) (turn.Page, error) {
+	l.mu.Lock()
+	l.reads++
+	delay := l.delay
+	l.mu.Unlock()
+	time.Sleep(delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.fault == Down {
@@ -116,6 +138,7 @@
 type Keeper struct {
 	mu     sync.Mutex
 	copies map[int][][]byte
+	asked  int
 }
 
 // NewKeeper returns a keeper without copies.
@@ -136,9 +159,17 @@
 func (k *Keeper) Kept(_ context.Context, shard int) [][]byte {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.asked++
 	return append([][]byte(nil), k.copies[shard]...)
 }
 
+// Asked returns how often copies were asked for.
+func (k *Keeper) Asked() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.asked
+}
+
 // Lose forgets all copies, as when all instances are killed.
 func (k *Keeper) Lose() {
 	k.mu.Lock()
