Give a front that still gossips more time for a sign of life

A ping unanswered for 150 ms ended the whole session to a front with all requests on it, and the front was not asked for 600 ms, so that its shards moved; small fronts stand still that long. Ruled out: fronts that had died (they gossiped on).

--- a/adapter/mesh/ask.go
+++ b/adapter/mesh/ask.go
@@ -40,9 +40,9 @@
 }
 
 // fail looks whether a front that did not answer lives, and does not ask it for a
-// moment if not.
+// moment if not: its session ends then with all requests that it carries.
 func (m *Mesh) fail(t target) bool {
-	if m.sessions.Check(t.address, pingTimeout) {
+	if m.sessions.Check(t.address, m.table.patience(t.name, time.Now())) {
 		return true
 	}
 	m.table.distrust(t.name, time.Now().Add(distrustTime))
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -21,6 +21,9 @@
 	answerTimeout = 400 * time.Millisecond
 	// pingTimeout bounds the wait for a sign of life of a front that did not answer.
 	pingTimeout = 150 * time.Millisecond
+	// slowPingTimeout is the same for a front that still gossips: a process with a quota
+	// of its processor stands still for up to a tenth of a second, several times over.
+	slowPingTimeout = 600 * time.Millisecond
 	// distrustTime is how long a front that did not answer is not asked.
 	distrustTime = 600 * time.Millisecond
 	// copies is the number of other fronts that hold a record during an outage.
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -16,6 +16,9 @@
 	lifeTime = 900 * time.Millisecond
 	// forgetTime is how long a silent front is still sent datagrams now and then.
 	forgetTime = 60 * time.Second
+	// freshGossip is how old the last datagram of a front may be that surely lives; one
+	// comes every tenth of a second.
+	freshGossip = 350 * time.Millisecond
 	// steadyAfter is how long a front must have reached the store for the others to
 	// give it the shards of fronts that don't; all find out within a second or two.
 	steadyAfter = 2 * time.Second
@@ -89,6 +92,17 @@
 	}
 }
 
+// patience returns how long a front may take for a sign of life: one that still
+// gossips is slow rather than gone.
+func (t *table) patience(name string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[name]; ok && now.Sub(p.heard) < freshGossip {
+		return slowPingTimeout
+	}
+	return pingTimeout
+}
+
 // target is a front to ask.
 type target struct {
 	name      string
--- a/adapter/mesh/table_test.go
+++ b/adapter/mesh/table_test.go
@@ -73,6 +73,16 @@
 	require.Equal(t, before, homes(tab, true))
 }
 
+// TestSlowFrontIsNotTakenForGone is omuti-grown trouble-3: a ping that took over 150 ms
+// ended the session to a busy front, and all requests on it failed at once.
+func TestSlowFrontIsNotTakenForGone(t *testing.T) {
+	tab := newTable("front-0", 0.8)
+	hear(tab, "front-1", 0.8, nil)
+	require.Equal(t, slowPingTimeout, tab.patience("front-1", noon.Add(200*time.Millisecond)))
+	require.Equal(t, pingTimeout, tab.patience("front-1", noon.Add(time.Second)))
+	require.Equal(t, pingTimeout, tab.patience("unknown", noon))
+}
+
 func TestAllFrontsAgreeOnHomes(t *testing.T) {
 	first, second := newTable("front-1", 0.8), newTable("front-2", 0.8)
 	hear(first, "front-2", 0.8, nil)
