Settle the copies of an outage together

Cause: each record that had rested on copies was settled by a message of its own to all other fronts, thousands times thirty at the end of an outage on a grown site. Test: 60 records of four shards were settled by 60 messages, now by 8 at most.

--- a/turn/commit.go
+++ b/turn/commit.go
@@ -34,11 +34,13 @@
 		if len(batch) == 0 {
 			s.running = false
 			s.mu.Unlock()
+			s.tellSettled()
 			return
 		}
 		s.mu.Unlock()
 		last = time.Now()
 		err := s.write(batch)
+		s.tellSettled()
 		if err == nil {
 			pause = 0
 			continue
--- a/turn/guard.go
+++ b/turn/guard.go
@@ -106,16 +106,29 @@
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, op := range ops {
 		if _, ok := s.byNumber[op.number]; !ok {
-			s.homes.config.Keeper.Settled(s.number, [][]byte{op.encoded})
+			s.settled = append(s.settled, op.encoded)
 			continue
 		}
 		op.kept = true
 		s.state.apply(op.record)
 		op.finish(nil)
 	}
+	s.mu.Unlock()
+	s.tellSettled()
+}
+
+// tellSettled tells the other instances which copies the log has taken, all in one
+// message: an outage leaves thousands.
+func (s *shard) tellSettled() {
+	s.mu.Lock()
+	records := s.settled
+	s.settled = nil
+	s.mu.Unlock()
+	if len(records) > 0 {
+		s.homes.config.Keeper.Settled(s.number, records)
+	}
 }
 
 // adopt appends records that another instance held for a process that is gone,
--- a/turn/load_test.go
+++ b/turn/load_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/lavendervale/lavendervale/turn/turntest"
 )
 
 // TestShardIsLoadedOnceForAllWhoWait is omuti-grown trouble-3: after an outage each
@@ -29,3 +31,24 @@
 		require.Equal(t, 1, s.log.Reads())
 	})
 }
+
+// TestCopiesAreSettledTogether is the same day: each record of the outage was settled
+// by a message of its own to every other front.
+func TestCopiesAreSettledTogether(t *testing.T) {
+	inSite(t, func(t *testing.T, s *site) {
+		h := s.homes()
+		const programs = 60
+		for i := range programs {
+			require.NoError(t, begin(t, h, request(fmt.Sprint("p", i), fmt.Sprint("first", i), 1000)))
+		}
+		s.log.Set(turntest.Down)
+		for i := range programs {
+			require.NoError(t, begin(t, h, request(fmt.Sprint("p", i), fmt.Sprint("second", i), 1000)), "one turn a program rests on copies")
+		}
+		s.log.Set(turntest.None)
+		time.Sleep(5 * time.Second)
+		require.Zero(t, h.Status().Pending)
+		require.Positive(t, s.keeper.Settlements())
+		require.LessOrEqual(t, s.keeper.Settlements(), 2*4, "a message or two for each shard")
+	})
+}
--- a/turn/operation.go
+++ b/turn/operation.go
@@ -41,7 +41,7 @@
 	}
 	close(op.durable)
 	if op.kept {
-		s.homes.config.Keeper.Settled(s.number, [][]byte{op.encoded})
+		s.settled = append(s.settled, op.encoded)
 	}
 	op.finish(err)
 }
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -40,8 +40,10 @@
 	confirmed time.Time
 	failing   time.Time
 	guarded   bool
-	marks     []mark
-	reading   sync.Mutex
+	// settled are records that other instances need not hold any more.
+	settled [][]byte
+	marks   []mark
+	reading sync.Mutex
 	// loading holds a token while the shard is read for the first time.
 	loading chan struct{}
 }
--- a/turn/turntest/log.go
+++ b/turn/turntest/log.go
@@ -136,9 +136,10 @@
 
 // Keeper holds copies for all homes of a test.
 type Keeper struct {
-	mu     sync.Mutex
-	copies map[int][][]byte
-	asked  int
+	mu      sync.Mutex
+	copies  map[int][][]byte
+	asked   int
+	settled int
 }
 
 // NewKeeper returns a keeper without copies.
@@ -152,8 +153,19 @@
 	return nil
 }
 
-// Settled does nothing: copies that the log has are recognized.
-func (k *Keeper) Settled(int, [][]byte) {}
+// Settled counts messages; copies that the log has are recognized without it.
+func (k *Keeper) Settled(int, [][]byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.settled++
+}
+
+// Settlements returns the number of messages that copies are not needed any more.
+func (k *Keeper) Settlements() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.settled
+}
 
 // Kept returns the copies of a shard.
 func (k *Keeper) Kept(_ context.Context, shard int) [][]byte {
