Send a look-up whose answer is overdue to a second endpoint

A program makes tens of look-ups, so many missed their aim. Ruled out: slow endpoints (the service answered all else as usual).

Change: an idempotent request goes to a second endpoint with a free slot once it takes six times the usual time of its route, the first good answer counts, the other send is canceled; a tenth of the requests at most, and within the route's attempts. A send that was canceled by its caller no longer counts as a failure of the endpoint.

--- a/endpoint/pace.go
+++ b/endpoint/pace.go
@@ -72,3 +72,22 @@
 	e.pace.observe(float64(took)/float64(max(usual, time.Millisecond)), now)
 	d.typicals[t.kind] = usual + time.Duration(typicalWeight*float64(took-usual))
 }
+
+// Usual returns the usual time of requests of a kind, and whether one has been seen.
+func (d *Directory) Usual(kind string) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.typicals[kind]
+	return t, ok
+}
+
+// Overdue notes that an endpoint takes much longer than usual for a request that still
+// runs there.
+func (d *Directory) Overdue(t Target, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	usual, known := d.typicals[t.kind]
+	if e, ok := d.byID[t.ID()]; ok && known {
+		e.pace.observe(float64(now.Sub(t.picked))/float64(max(usual, time.Millisecond)), now)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 type Gateway struct {
 	Config
 	departure atomic.Pointer[departure]
+	hedges    hedgeBudget
 }
 
 // departure is when an instance that stops refuses what it could not bring to an end.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -82,21 +82,26 @@
 type endpoints struct {
 	mu  sync.Mutex
 	ran []string
-	how func(t endpoint.Target) error
+	// lost reports whether an endpoint runs a request and its answer is lost.
+	lost func(id string) bool
 }
 
-func (e *endpoints) Send(_ context.Context, t endpoint.Target, _ gateway.Dispatch) (gateway.Answer, error) {
+func (e *endpoints) Send(ctx context.Context, t endpoint.Target, _ gateway.Dispatch) (gateway.Answer, error) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.ran = append(e.ran, t.ID())
-	if e.how != nil {
-		if err := e.how(t); err != nil {
-			return nil, err
-		}
+	lost := e.lost != nil && e.lost(t.ID())
+	e.mu.Unlock()
+	time.Sleep(usualTime)
+	if lost {
+		<-ctx.Done()
+		return nil, gateway.Errorf("send", gateway.KindBroken, "given up: %w", ctx.Err())
 	}
 	return fine{}, nil
 }
 
+// usualTime is how long the endpoints take for a request.
+const usualTime = 20 * time.Millisecond
+
 func (e *endpoints) Alive(context.Context, endpoint.Target) bool { return true }
 
 // fine is a whole good answer.
@@ -149,3 +154,57 @@
 		})
 	}
 }
+
+// TestOverdueLookUpIsSentOnceMore is verande-agent inc-d6e5: look-ups whose answer was lost
+// waited 1.2 s for their deadline, and the program missed its aim.
+func TestOverdueLookUpIsSentOnceMore(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		status int
+		within time.Duration
+		sends  int
+	}{
+		{name: "idempotent", path: "/look/1", status: 200, within: 200 * time.Millisecond, sends: 2},
+		{name: "once", path: "/pay/1", status: 504, within: 1200 * time.Millisecond, sends: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t)
+				for range 20 {
+					require.Equal(t, 200, s.ask(test.path, time.Second).status)
+				}
+				s.endpoints.ran = nil
+				first := true
+				s.endpoints.lost = func(string) bool {
+					was := first
+					first = false
+					return was
+				}
+				started := time.Now()
+				require.Equal(t, test.status, s.ask(test.path, 1200*time.Millisecond).status)
+				require.LessOrEqual(t, time.Since(started), test.within)
+				require.Len(t, s.endpoints.ran, test.sends)
+			})
+		})
+	}
+}
+
+// TestSlowServiceGetsFewSecondSends shows that second sends don't double the load of a
+// service that answers nothing.
+func TestSlowServiceGetsFewSecondSends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		for range 200 {
+			require.Equal(t, 200, s.ask("/look/1", time.Second).status)
+		}
+		s.endpoints.ran = nil
+		s.endpoints.lost = func(string) bool { return true }
+		const requests = 100
+		for range requests {
+			s.ask("/look/1", 300*time.Millisecond)
+		}
+		require.LessOrEqual(t, len(s.endpoints.ran), requests+requests/10+10)
+	})
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,6 +14,7 @@
 	took     *prometheus.HistogramVec
 	queued   *prometheus.HistogramVec
 	first    prometheus.Histogram
+	hedges   prometheus.Counter
 }
 
 // latencyBuckets spans what a request may take, in seconds.
@@ -38,7 +39,10 @@
 			Name: "lavendervale_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}),
 	}
-	r.MustRegister(m.requests, m.failures, m.took, m.queued, m.first)
+	m.hedges = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "lavendervale_hedges_total", Help: "Idempotent requests sent to a second endpoint because their answer was overdue.",
+	})
+	r.MustRegister(m.requests, m.failures, m.took, m.queued, m.first, m.hedges)
 	return m
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -18,34 +18,41 @@
 			c.giveUp(ctx, w, err, last)
 			return
 		}
-		answer, err := c.exchange(ctx)
-		c.Directory.Done(c.target)
-		switch {
-		case err == nil && !answer.notRun:
-			c.Directory.Succeeded(c.target, time.Now())
-			w.Whole(answer.status, answer.header, answer.body)
-			c.Metrics.served(c, answer.status)
-			c.log("answered", answer.status, "")
+		o := c.send(ctx)
+		c.target = o.target
+		if o.good() {
+			c.Directory.Succeeded(o.target, time.Now())
+			w.Whole(o.answer.status, o.answer.header, o.answer.body)
+			c.Metrics.served(c, o.answer.status)
+			c.log("answered", o.answer.status, "")
 			return
-		case err == nil:
-			c.Metrics.failures.WithLabelValues("not-run").Inc()
-			c.exclude()
-		case notRun(err):
-			c.failed(err)
-			c.exclude()
-		default:
-			if ctx.Err() == nil {
-				c.failed(err)
-			}
-			last = err
-			c.sent = true
-			c.exclude()
-			if c.route.Repeat() == route.Once || c.attempts >= c.route.MaxAttempts() || ctx.Err() != nil {
-				c.giveUp(ctx, w, err, last)
-				return
-			}
 		}
+		if o.ran() {
+			last = o.err
+		}
+		c.miss(ctx, o)
+		if ctx.Err() != nil || (o.ran() && !c.mayRepeat()) {
+			c.giveUp(ctx, w, o.err, last)
+			return
+		}
+	}
+}
+
+// miss books a send that brought no good answer and keeps the request from its endpoint.
+func (c *call) miss(ctx context.Context, o outcome) {
+	switch {
+	case o.answer.notRun:
+		c.Metrics.failures.WithLabelValues("not-run").Inc()
+	case ctx.Err() == nil:
+		c.failed(o.err)
 	}
+	c.sent = c.sent || o.ran()
+	c.exclude()
+}
+
+// mayRepeat reports whether the request may be sent to one more endpoint that runs it.
+func (c *call) mayRepeat() bool {
+	return c.route.Repeat() != route.Once && c.attempts < c.route.MaxAttempts()
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -56,22 +63,17 @@
 	notRun bool
 }
 
-// exchange sends the request to the target and reads the whole answer.
-func (c *call) exchange(ctx context.Context) (wholeAnswer, error) {
-	c.attempts++
-	a, err := c.Endpoints.Send(ctx, c.target, Dispatch{
+// exchange sends the request to an endpoint and reads the whole answer.
+func (c *call) exchange(ctx context.Context, t endpoint.Target) (wholeAnswer, error) {
+	a, err := c.Endpoints.Send(ctx, t, Dispatch{
 		Request: c.request, Deadline: c.deadline, Priority: noPriority, Fresh: c.route.Repeat() == route.Once,
 	})
 	if err != nil {
-		if notRun(err) {
-			c.attempts--
-		}
 		return wholeAnswer{}, err
 	}
 	defer a.Close()
 	body, err := a.Body()
 	if a.NotRun() {
-		c.attempts--
 		return wholeAnswer{notRun: true, status: a.Status()}, nil
 	}
 	if err != nil {
@@ -106,6 +108,7 @@
 	}
 }
 
+// text returns the first error there is.
 func text(errs ...error) string {
 	for _, err := range errs {
 		if err != nil {
