Try endpoints that seemed gone with requests that may be repeated

Change: for six seconds after an endpoint has refused or ended a connection it gets only requests that may be repeated, unless one of them succeeds; half of a service may stand aside, as before. Test: TestOrdersAreNotTrials (it failed once when its first phase happened not to reach the endpoint; it waits for that now, 2,000 runs passed).

--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -10,6 +10,9 @@
 	// requests; the time doubles with each failed trial.
 	firstRest = 500 * time.Millisecond
 	maxRest   = 4 * time.Second
+	// provenAfter is how long an endpoint that seemed gone gets only requests that may be
+	// repeated, unless one of them has succeeded: a trial must not cost an order.
+	provenAfter = 6 * time.Second
 	// maxRestingShare bounds the endpoints of a service put aside at once.
 	maxRestingShare = 0.5
 )
@@ -19,6 +22,8 @@
 	failures int
 	rest     time.Duration
 	until    time.Time
+	// doubted is until when the endpoint must prove itself after it seemed gone.
+	doubted time.Time
 }
 
 func (h *health) succeed() { *h = health{} }
@@ -27,6 +32,9 @@
 // many instances would else send it several requests.
 func (h *health) fail(now time.Time, gone bool) {
 	h.failures++
+	if gone {
+		h.doubted = now.Add(provenAfter)
+	}
 	if h.failures < failureLimit && !gone {
 		return
 	}
@@ -34,4 +42,7 @@
 	h.until = now.Add(h.rest)
 }
 
-func (h *health) resting(now time.Time) bool { return now.Before(h.until) }
+// aside reports whether the endpoint gets no requests, or none that must not be repeated.
+func (h *health) aside(once bool, now time.Time) bool {
+	return now.Before(h.until) || (once && now.Before(h.doubted))
+}
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -12,6 +12,8 @@
 	Near string
 	// Kind groups requests that take about equally long, such as those of one route.
 	Kind string
+	// Once is set for requests that must not run again if their answer is lost.
+	Once bool
 	// Prefer is the endpoint that holds the conversation, or empty.
 	Prefer string
 	// PreferWorth is the time that the conversation there saves.
@@ -41,7 +43,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := d.services[q.Service]
-	best, verdict := d.pick(list, q, now, d.mayRest(list, now))
+	best, verdict := d.pick(list, q, now, d.mayRest(list, q, now))
 	if best == nil && verdict == None {
 		best, verdict = d.pick(list, q, now, false)
 	}
@@ -53,14 +55,14 @@
 }
 
 // mayRest reports whether few enough endpoints rest to do without them.
-func (d *Directory) mayRest(list []*Endpoint, now time.Time) bool {
+func (d *Directory) mayRest(list []*Endpoint, q Query, now time.Time) bool {
 	usable, resting := 0, 0
 	for _, e := range list {
 		if !d.usable(e, now) {
 			continue
 		}
 		usable++
-		if e.health.resting(now) {
+		if e.health.aside(q.Once, now) {
 			resting++
 		}
 	}
@@ -73,7 +75,7 @@
 	lowest, verdict := 0.0, None
 	typical := d.typical(q.Kind)
 	for _, e := range list {
-		if !d.usable(e, now) || q.Avoid[e.entry.ID] || (skip && e.health.resting(now)) {
+		if !d.usable(e, now) || q.Avoid[e.entry.ID] || (skip && e.health.aside(q.Once, now)) {
 			continue
 		}
 		if e.load() >= e.entry.Slots+q.Depth {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -231,3 +232,31 @@
 		require.LessOrEqual(t, lost, 1)
 	})
 }
+
+// TestOrdersAreNotTrials is the same day: an endpoint that flaps is tried again with
+// look-ups, and gets orders once one of them was answered.
+func TestOrdersAreNotTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		down := true
+		s.endpoints.resets = func(id string) bool { return id == "shop-1" && down }
+		for s.ask("/pay/1", time.Second).status == 200 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		s.endpoints.ran = nil
+		for range 12 {
+			require.Equal(t, 200, s.ask("/pay/1", time.Second).status)
+		}
+		require.NotContains(t, s.endpoints.ran, "shop-1")
+		down = false
+		s.endpoints.ran = nil
+		for !slices.Contains(s.endpoints.ran, "shop-1") {
+			require.Equal(t, 200, s.ask("/look/1", time.Second).status)
+		}
+		s.endpoints.ran = nil
+		for !slices.Contains(s.endpoints.ran, "shop-1") {
+			require.Equal(t, 200, s.ask("/pay/1", time.Second).status)
+		}
+	})
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -83,7 +83,7 @@
 }
 
 func (c *call) plainQuery() endpoint.Query {
-	return endpoint.Query{Service: c.service, Kind: c.route.Name(), Depth: depthPlain, Near: c.Domain, Avoid: c.avoid}
+	return endpoint.Query{Service: c.service, Kind: c.route.Name(), Once: c.route.Repeat() == route.Once, Depth: depthPlain, Near: c.Domain, Avoid: c.avoid}
 }
 
 // giveUp answers a request that no endpoint has served: as not run only when none
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -235,7 +235,7 @@
 
 func (s *streaming) query() endpoint.Query {
 	return endpoint.Query{
-		Service: s.service, Kind: s.route.Name(), Depth: depthEngine, Near: s.Domain, Avoid: s.avoid,
+		Service: s.service, Kind: s.route.Name(), Once: s.route.Repeat() == route.Once, Depth: depthEngine, Near: s.Domain, Avoid: s.avoid,
 		Prefer: s.holder, PreferWorth: s.held(),
 	}
 }
