--- a/adapter/mesh/replicas.go
+++ b/adapter/mesh/replicas.go
@@ -272,9 +272,12 @@
 }
 
 // recoverOrphans appends the records of fronts that are no longer alive to the log,
-// before their replicas expire. It runs until ctx ends.
+// before their replicas expire. It runs until ctx ends and logs changes of the homes of
+// shards on the way.
 func (m *Mesh) recoverOrphans(ctx context.Context) {
+	owned := map[int]bool{}
 	for timer.Sleep(ctx, orphanCheckInterval) == nil {
+		m.logHomeChanges(owned)
 		for shard, records := range m.replicas.orphans(m.peers.hasRecentGossip) {
 			appendCtx, cancel := context.WithTimeout(ctx, handleTimeout)
 			err := m.appendAtHome(appendCtx, shard, records)
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -57,6 +57,8 @@
 	// releasable holds replicated records that the log has now and whose holders have
 	// not been told yet.
 	releasable [][]byte
+	// bytesRead counts the bytes of the records read from the log.
+	bytesRead int64
 	// trimPoints holds offsets to trim the log at, in ascending order.
 	trimPoints []trimPoint
 	// readMu serializes readers of the log.
@@ -66,6 +68,18 @@
 	loadSlot chan struct{}
 }
 
+// loadReason says in the log what a shard is loaded for.
+type loadReason string
+
+// Reasons to load a shard.
+const (
+	loadForStart    loadReason = "start"
+	loadForBegin    loadReason = "begin"
+	loadForFind     loadReason = "find"
+	loadForAppend   loadReason = "append"
+	loadForReplicas loadReason = "replicas"
+)
+
 // trimPoint is an offset with the time at which its record was written.
 type trimPoint struct {
 	offset    int64
@@ -99,6 +113,9 @@
 			return err
 		}
 		s.mu.Lock()
+		for _, record := range page.Records {
+			s.bytesRead += int64(len(record))
+		}
 		s.applyRecords(offset, page.Records)
 		atEnd := s.nextOffset >= page.NextOffset
 		if atEnd {
@@ -113,8 +130,8 @@
 
 // load reads the shard to its end unless it is loaded already, and queues the replicas
 // of its records that other processes hold. Concurrent callers wait for the first one
-// instead of reading the shard themselves.
-func (s *shard) load(ctx context.Context) error {
+// instead of reading the shard themselves. The reason is logged.
+func (s *shard) load(ctx context.Context, reason loadReason) error {
 	if s.markUsed() {
 		return nil
 	}
@@ -129,6 +146,10 @@
 	}
 	started := time.Now()
 	if err := s.readToEnd(ctx); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.set.config.Logger.Warn("shard not loaded", zap.Int("shard", s.number), zap.String("for", string(reason)), zap.Bool("home", s.set.config.IsHome(s.number)),
+			zap.Int64("offset", s.nextOffset), zap.Int64("bytes", s.bytesRead), zap.Duration("took", time.Since(started)), zap.Error(err))
 		return err
 	}
 	replicas := s.set.config.Replicator.Replicas(ctx, s.number)
@@ -138,7 +159,8 @@
 	for _, data := range replicas {
 		s.submitReplica(data)
 	}
-	s.set.config.Logger.Info("shard loaded", zap.Int("shard", s.number), zap.Int64("end", s.nextOffset),
+	s.set.config.Logger.Info("shard loaded", zap.Int("shard", s.number), zap.String("for", string(reason)), zap.Bool("home", s.set.config.IsHome(s.number)),
+		zap.Int64("end", s.nextOffset), zap.Int64("bytes", s.bytesRead),
 		zap.Int("turns", len(s.state.turns)), zap.Int("copies", len(replicas)), zap.Duration("took", time.Since(started)))
 	return nil
 }
--- a/turn/shardset.go
+++ b/turn/shardset.go
@@ -100,4 +100,6 @@
 
 // Load reads a shard from the log unless it is loaded already. It returns an error of
 // KindUnavailable when the shard can't be read.
-func (set *ShardSet) Load(ctx context.Context, number int) error { return set.shard(number).load(ctx) }
+func (set *ShardSet) Load(ctx context.Context, number int) error {
+	return set.shard(number).load(ctx, loadForStart)
+}
