Show by a failing test that a shard is never loaded after a silent log

The test plays it in virtual time: a shard that takes half a second to read, a request each 20 ms with ten seconds to wait, a log that is silent for four seconds. 12 s after its return, the time that the users allow, no request is admitted. The fake log has a new fault, bounded pages and a shared read rate.

--- a/turn/load_test.go
+++ b/turn/load_test.go
@@ -1,12 +1,15 @@
 package turn_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavendervale/lavendervale/timer"
+	"github.com/lavendervale/lavendervale/turn"
 	"github.com/lavendervale/lavendervale/turn/turntest"
 )
 
@@ -54,3 +57,66 @@
 		require.LessOrEqual(t, env.replicator.Releases(), 2*4, "at most two release messages for each shard")
 	})
 }
+
+// TestShardLoadsWhileRequestsKeepArrivingAfterASilentLog guards against an outage of the
+// log that outlasts its cause: each waiting request began the read of the shard anew,
+// with what was left of its own deadline, and none of the reads came to its end.
+func TestShardLoadsWhileRequestsKeepArrivingAfterASilentLog(t *testing.T) {
+	const (
+		requestInterval = 20 * time.Millisecond
+		requestTimeout  = 10 * time.Second
+		silence         = 4 * time.Second
+		// recovery is the time that the users' pages allow after a fault.
+		recovery = 12 * time.Second
+		// One read of the whole shard, 50 records of 40 kB, takes half a second.
+		records, recordBytes, readRate = 50, 40_000, 4_000_000
+	)
+	tests := []struct {
+		name      string
+		processes int
+	}{
+		{name: "one home", processes: 1},
+		{name: "two fronts that take themselves for the home", processes: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestEnv(t, func(t *testing.T, env *testEnv) {
+				writer := env.newShardSet()
+				for i := range records {
+					attempt := fmt.Sprint("turn", i)
+					require.NoError(t, begin(t, writer, request("p", attempt, 100_000)))
+					require.NoError(t, writer.End(t.Context(), turn.EndRequest{Program: "p", Attempt: attempt, Completed: &turn.CompletedTurn{Text: make([]byte, recordBytes), RetentionMS: 60_000}}))
+				}
+				env.log.SetReadRate(readRate)
+				env.log.SetFault(turntest.Silent)
+				admitted := make(chan error, 10_000)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				for range test.processes {
+					set := env.newShardSet()
+					go func() {
+						for i := 0; timer.Sleep(ctx, requestInterval) == nil; i++ {
+							go func() {
+								requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
+								defer cancel()
+								_, err := set.Begin(requestCtx, turn.BeginRequest{Program: "p", Attempt: fmt.Sprint("a", i), Previous: "turn0"})
+								admitted <- err
+							}()
+						}
+					}()
+				}
+				time.Sleep(silence)
+				env.log.SetFault(turntest.NoFault)
+				time.Sleep(recovery)
+				for len(admitted) > 0 {
+					<-admitted
+				}
+				time.Sleep(time.Second)
+				require.NotEmpty(t, admitted, "no request was admitted or refused in a second")
+				for len(admitted) > 0 {
+					require.NoError(t, <-admitted, "%v after the return of the log", recovery)
+				}
+			})
+		})
+	}
+}
--- a/turn/turntest/log.go
+++ b/turn/turntest/log.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/lavendervale/lavendervale/timer"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -25,10 +26,18 @@
 	// AppliedLate means that appends time out and take effect after lateAppendDelay, if
 	// the shard then still ends at their offset.
 	AppliedLate
+	// Silent means that calls have no effect and never get a response, also when the
+	// fault has ended meanwhile.
+	Silent
 )
 
-// lateAppendDelay is the time after which an append takes effect under AppliedLate.
-const lateAppendDelay = 2 * time.Second
+const (
+	// lateAppendDelay is the time after which an append takes effect under AppliedLate.
+	lateAppendDelay = 2 * time.Second
+	// maxPageBytes limits the records of a page, as the platform does. A page has at
+	// least one record.
+	maxPageBytes = 1 << 20
+)
 
 // Log is an in-memory turn.Log with injected faults. It is safe for concurrent use.
 type Log struct {
@@ -42,6 +51,10 @@
 	reads              int
 	// readDelay is how long a read takes.
 	readDelay time.Duration
+	// readRate is how many bytes per second all reads get together, 0 for no limit.
+	readRate int
+	// readsBusyUntil is when the last read that has begun is served.
+	readsBusyUntil time.Time
 }
 
 // NewLog returns an empty log without faults.
@@ -70,6 +83,14 @@
 	l.readDelay = d
 }
 
+// SetReadRate sets how many bytes per second all reads get together, 0 for no limit.
+// Reads are served one after another, also those that nobody waits for any more.
+func (l *Log) SetReadRate(bytesPerSecond int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readRate = bytesPerSecond
+}
+
 // Reads returns the number of reads, including failed ones.
 func (l *Log) Reads() int {
 	l.mu.Lock()
@@ -86,6 +107,9 @@
 	case Unavailable:
 		<-ctx.Done()
 		return turn.Errorf("append", turn.KindUnavailable, "log is down")
+	case Silent:
+		<-ctx.Done()
+		return turn.Errorf("append", turn.KindUnknown, "no answer: %w", ctx.Err())
 	case ResponseLost:
 		err := l.appendRecords(shard, offset, records)
 		<-ctx.Done()
@@ -114,11 +138,18 @@
 func (l *Log) Read(ctx context.Context, shard int, offset int64) (turn.Page, error) {
 	l.mu.Lock()
 	l.reads++
-	delay := l.readDelay
+	delay, silent := l.readDelay+l.reserveReadTime(l.page(shard, offset)), l.fault == Silent
 	l.mu.Unlock()
-	time.Sleep(delay)
+	if silent {
+		<-ctx.Done()
+	} else {
+		_ = timer.Sleep(ctx, delay)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if ctx.Err() != nil {
+		return turn.Page{}, turn.Errorf("read", turn.KindUnavailable, "no answer: %w", ctx.Err())
+	}
 	if l.fault == Unavailable {
 		return turn.Page{}, turn.Errorf("read", turn.KindUnavailable, "log is down")
 	}
@@ -126,8 +157,38 @@
 	if offset < first {
 		return turn.Page{FirstOffset: first}, turn.Errorf("read", turn.KindExpired, "offset %d was trimmed", offset)
 	}
-	records := l.recordsByShard[shard][offset-first:]
-	return turn.Page{FirstOffset: first, NextOffset: first + int64(len(l.recordsByShard[shard])), Records: append([][]byte(nil), records...)}, ctx.Err()
+	return turn.Page{FirstOffset: first, NextOffset: first + int64(len(l.recordsByShard[shard])), Records: append([][]byte(nil), l.page(shard, offset)...)}, nil
+}
+
+// page returns the records of a shard from an offset on, at most maxPageBytes of them.
+// l.mu must be held.
+func (l *Log) page(shard int, offset int64) [][]byte {
+	records := l.recordsByShard[shard][min(int64(len(l.recordsByShard[shard])), max(0, offset-l.firstOffsetByShard[shard])):]
+	size := 0
+	for i, record := range records {
+		if size += len(record); size > maxPageBytes && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
+// reserveReadTime returns how long a read of records takes after the reads before it, and
+// delays the reads after it. l.mu must be held.
+func (l *Log) reserveReadTime(records [][]byte) time.Duration {
+	if l.readRate == 0 || l.fault == Silent {
+		return 0
+	}
+	size := 0
+	for _, record := range records {
+		size += len(record)
+	}
+	start := time.Now()
+	if l.readsBusyUntil.After(start) {
+		start = l.readsBusyUntil
+	}
+	l.readsBusyUntil = start.Add(time.Duration(size) * time.Second / time.Duration(l.readRate))
+	return time.Until(l.readsBusyUntil)
 }
 
 // Trim implements turn.Log.
