Read a shard for all that wait, not for the request that came first

Cause: a shard was read with the context of the request that happened to begin the load. 1. A read that began while the log was silent kept the shard's only load slot for the ten seconds that the request had, on connections that never answer. 2. When it ended, the requests in line began the read anew one after another, the oldest first, each with the few milliseconds that were left to it. Each such read was given up and thrown away, yet used the bandwidth that all reads of the log share, so that it took longer than any request had left: the collapse fed itself. The class of fault is shared work bound to the lifetime of one of its users.

Change: a load, and a read to the end of a loaded shard, runs in a goroutine of its own, a page at a time with a timeout of its own; requests wait for it with their own contexts and share its outcome. Within 50 ms after a failed one no other begins, and who asks for the shard is told at once.

--- a/turn/append.go
+++ b/turn/append.go
@@ -97,7 +97,7 @@
 func (s *shard) tryAppend(batch []*writeOp) error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.LogTimeout)
 	defer cancel()
-	if err := s.load(ctx, loadForAppend); err != nil {
+	if err := s.ensureLoaded(ctx, loadForAppend); err != nil {
 		s.setAppendFailing(true)
 		return err
 	}
--- a/turn/begin.go
+++ b/turn/begin.go
@@ -41,7 +41,7 @@
 // shard holds the previous turn, and of KindUnavailable when a shard can't be read.
 func (set *ShardSet) Begin(ctx context.Context, r BeginRequest) (Admission, error) {
 	s := set.shard(ShardOf(r.Program, set.config.ShardCount))
-	if err := s.load(ctx, loadForBegin); err != nil {
+	if err := s.ensureLoaded(ctx, loadForBegin); err != nil {
 		return nil, err
 	}
 	admitted := &localAdmission{}
@@ -149,7 +149,7 @@
 func (set *ShardSet) Find(ctx context.Context, turn string, shards []int) ([]byte, bool, error) {
 	for _, n := range shards {
 		s := set.shard(n)
-		if err := s.load(ctx, loadForFind); err != nil {
+		if err := s.ensureLoaded(ctx, loadForFind); err != nil {
 			return nil, false, err
 		}
 		text, ok, err := s.find(ctx, turn)
--- /dev/null
+++ b/turn/read.go
@@ -0,0 +1,185 @@
+package turn
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// readRetryDelay is the time after a failed load or read in which no other one of the
+	// same shard begins.
+	readRetryDelay = 50 * time.Millisecond
+)
+
+// loadReason says in the log what a shard is loaded for.
+type loadReason string
+
+// Reasons to load a shard.
+const (
+	loadForStart    loadReason = "start"
+	loadForBegin    loadReason = "begin"
+	loadForFind     loadReason = "find"
+	loadForAppend   loadReason = "append"
+	loadForReplicas loadReason = "replicas"
+)
+
+// logRead is a read of a shard to its end. It belongs to none of the requests that wait
+// for it, so it neither ends with one of them nor begins anew for the next.
+type logRead struct {
+	// done is closed at the end; err is set before.
+	done chan struct{}
+	err  error
+}
+
+func newLogRead() *logRead { return &logRead{done: make(chan struct{})} }
+
+// finish reports the outcome to all that wait.
+func (r *logRead) finish(err error) {
+	r.err = err
+	close(r.done)
+}
+
+// wait returns the outcome, or an error of KindUnavailable when ctx ends first.
+func (r *logRead) wait(ctx context.Context, shard int) error {
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return Errorf("read shard", KindUnavailable, "shard %d was not read in time: %w", shard, ctx.Err())
+	}
+}
+
+// ensureLoaded waits until the shard was read to its end, unless it was before. All
+// callers share one load; within readRetryDelay after a failed one they get its error.
+// The reason is logged.
+func (s *shard) ensureLoaded(ctx context.Context, reason loadReason) error {
+	s.mu.Lock()
+	s.lastUsedAt = time.Now()
+	if s.loaded {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.load == nil {
+		s.load = newLogRead()
+		go s.runLoad(s.load, reason)
+	}
+	load := s.load
+	s.mu.Unlock()
+	return load.wait(ctx, s.number)
+}
+
+// runLoad reads the shard to its end and queues the replicas of its records that other
+// processes hold.
+func (s *shard) runLoad(load *logRead, reason loadReason) {
+	started := time.Now()
+	err := s.readPages()
+	var replicas [][]byte
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), s.set.config.LogTimeout)
+		replicas = s.set.config.Replicator.Replicas(ctx, s.number)
+		cancel()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer load.finish(err)
+	fields := []zap.Field{
+		zap.Int("shard", s.number), zap.String("for", string(reason)), zap.Bool("home", s.set.config.IsHome(s.number)),
+		zap.Int64("end", s.nextOffset), zap.Int64("bytes", s.bytesRead), zap.Duration("took", time.Since(started)),
+	}
+	if err != nil {
+		s.set.config.Logger.Warn("shard not loaded", append(fields, zap.Error(err))...)
+		time.AfterFunc(readRetryDelay, s.clearLoad)
+		return
+	}
+	s.loaded, s.load = true, nil
+	for _, data := range replicas {
+		s.submitReplica(data)
+	}
+	s.set.config.Logger.Info("shard loaded", append(fields, zap.Int("turns", len(s.state.turns)), zap.Int("copies", len(replicas)))...)
+}
+
+// clearLoad lets the next request for the shard begin another load.
+func (s *shard) clearLoad() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load = nil
+}
+
+// readToEnd waits for a read to the end of the shard that begins after the call. All
+// callers that wait for the end of the same earlier read share the next one.
+func (s *shard) readToEnd(ctx context.Context) error {
+	s.mu.Lock()
+	if s.nextRead == nil {
+		s.nextRead = newLogRead()
+	}
+	read := s.nextRead
+	if !s.reading {
+		s.reading = true
+		go s.readWhileAwaited()
+	}
+	s.mu.Unlock()
+	return read.wait(ctx, s.number)
+}
+
+// readWhileAwaited reads the shard to its end until nothing waits for another read. At
+// most one readWhileAwaited runs for a shard.
+func (s *shard) readWhileAwaited() {
+	for {
+		s.mu.Lock()
+		read := s.nextRead
+		s.nextRead = nil
+		if read == nil {
+			s.reading = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		err := s.readPages()
+		read.finish(err)
+		if err != nil {
+			time.Sleep(readRetryDelay)
+		}
+	}
+}
+
+// readPages reads the log from nextOffset to its end and applies the records. Trimmed
+// records are skipped. What was applied before an error stays applied.
+func (s *shard) readPages() error {
+	for {
+		s.mu.Lock()
+		offset := s.nextOffset
+		s.mu.Unlock()
+		page, err := s.readPage(offset)
+		if KindOf(err) == KindExpired && err != nil {
+			s.mu.Lock()
+			s.nextOffset = max(s.nextOffset, page.FirstOffset)
+			s.mu.Unlock()
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		for _, record := range page.Records {
+			s.bytesRead += int64(len(record))
+		}
+		s.applyRecords(offset, page.Records)
+		atEnd := s.nextOffset >= page.NextOffset
+		if atEnd {
+			s.syncedAt = time.Now()
+		}
+		s.mu.Unlock()
+		if atEnd {
+			return nil
+		}
+	}
+}
+
+// readPage reads one page of the log within Config.ReadTimeout.
+func (s *shard) readPage(offset int64) (Page, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.ReadTimeout)
+	defer cancel()
+	return s.set.config.Log.Read(ctx, s.number, offset)
+}
--- a/turn/replicate.go
+++ b/turn/replicate.go
@@ -144,7 +144,7 @@
 
 // appendReplicas implements ShardSet.AppendReplicas for one shard.
 func (s *shard) appendReplicas(ctx context.Context, records [][]byte) error {
-	if err := s.load(ctx, loadForReplicas); err != nil {
+	if err := s.ensureLoaded(ctx, loadForReplicas); err != nil {
 		return err
 	}
 	if err := s.readToEnd(ctx); err != nil {
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -1,7 +1,6 @@
 package turn
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -25,7 +24,7 @@
 	number int
 	set    *ShardSet
 
-	// mu guards the fields below, except readMu and loadSlot.
+	// mu guards the fields below.
 	mu    sync.Mutex
 	state *state
 	// nextOffset is the offset after the last record applied to state.
@@ -61,25 +60,15 @@
 	bytesRead int64
 	// trimPoints holds offsets to trim the log at, in ascending order.
 	trimPoints []trimPoint
-	// readMu serializes readers of the log.
-	readMu sync.Mutex
-	// loadSlot holds one element while a goroutine loads the shard. It is a channel
-	// instead of a mutex so that waiting for it can be canceled.
-	loadSlot chan struct{}
+	// load is the attempt to load the shard that is under way or has failed just now, nil
+	// for none.
+	load *logRead
+	// nextRead is the read to the end that begins after the one under way, nil for none.
+	nextRead *logRead
+	// reading is set while readWhileAwaited runs.
+	reading bool
 }
 
-// loadReason says in the log what a shard is loaded for.
-type loadReason string
-
-// Reasons to load a shard.
-const (
-	loadForStart    loadReason = "start"
-	loadForBegin    loadReason = "begin"
-	loadForFind     loadReason = "find"
-	loadForAppend   loadReason = "append"
-	loadForReplicas loadReason = "replicas"
-)
-
 // trimPoint is an offset with the time at which its record was written.
 type trimPoint struct {
 	offset    int64
@@ -89,88 +78,8 @@
 func newShard(set *ShardSet, number int) *shard {
 	return &shard{
 		set: set, number: number, state: newState(), pendingByNumber: map[uint64]*writeOp{},
-		endpointBySession: map[string]string{}, firstSessionByProgram: map[string]string{}, fetchedTextByAttempt: map[string][]byte{}, loadSlot: make(chan struct{}, 1),
-	}
-}
-
-// readToEnd reads the log from nextOffset to its end and applies the records. Trimmed
-// records are skipped.
-func (s *shard) readToEnd(ctx context.Context) error {
-	s.readMu.Lock()
-	defer s.readMu.Unlock()
-	for {
-		s.mu.Lock()
-		offset := s.nextOffset
-		s.mu.Unlock()
-		page, err := s.set.config.Log.Read(ctx, s.number, offset)
-		if KindOf(err) == KindExpired && err != nil {
-			s.mu.Lock()
-			s.nextOffset = max(s.nextOffset, page.FirstOffset)
-			s.mu.Unlock()
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		s.mu.Lock()
-		for _, record := range page.Records {
-			s.bytesRead += int64(len(record))
-		}
-		s.applyRecords(offset, page.Records)
-		atEnd := s.nextOffset >= page.NextOffset
-		if atEnd {
-			s.syncedAt = time.Now()
-		}
-		s.mu.Unlock()
-		if atEnd {
-			return nil
-		}
-	}
-}
-
-// load reads the shard to its end unless it is loaded already, and queues the replicas
-// of its records that other processes hold. Concurrent callers wait for the first one
-// instead of reading the shard themselves. The reason is logged.
-func (s *shard) load(ctx context.Context, reason loadReason) error {
-	if s.markUsed() {
-		return nil
-	}
-	select {
-	case s.loadSlot <- struct{}{}:
-		defer func() { <-s.loadSlot }()
-	case <-ctx.Done():
-		return Errorf("load shard", KindUnavailable, "shard %d was not loaded in time: %w", s.number, ctx.Err())
+		endpointBySession: map[string]string{}, firstSessionByProgram: map[string]string{}, fetchedTextByAttempt: map[string][]byte{},
 	}
-	if s.markUsed() {
-		return nil
-	}
-	started := time.Now()
-	if err := s.readToEnd(ctx); err != nil {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.set.config.Logger.Warn("shard not loaded", zap.Int("shard", s.number), zap.String("for", string(reason)), zap.Bool("home", s.set.config.IsHome(s.number)),
-			zap.Int64("offset", s.nextOffset), zap.Int64("bytes", s.bytesRead), zap.Duration("took", time.Since(started)), zap.Error(err))
-		return err
-	}
-	replicas := s.set.config.Replicator.Replicas(ctx, s.number)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.loaded, s.syncedAt = true, time.Now()
-	for _, data := range replicas {
-		s.submitReplica(data)
-	}
-	s.set.config.Logger.Info("shard loaded", zap.Int("shard", s.number), zap.String("for", string(reason)), zap.Bool("home", s.set.config.IsHome(s.number)),
-		zap.Int64("end", s.nextOffset), zap.Int64("bytes", s.bytesRead),
-		zap.Int("turns", len(s.state.turns)), zap.Int("copies", len(replicas)), zap.Duration("took", time.Since(started)))
-	return nil
-}
-
-// markUsed records that the shard is in use and reports whether it is loaded.
-func (s *shard) markUsed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastUsedAt = time.Now()
-	return s.loaded
 }
 
 // applyRecords applies records that start at firstOffset in the log, except those that
--- a/turn/shardset.go
+++ b/turn/shardset.go
@@ -16,6 +16,8 @@
 	// DefaultLogTimeout is the default of Config.LogTimeout. The platform usually
 	// answers within a few milliseconds, and within a few hundred when it is slow.
 	DefaultLogTimeout = 700 * time.Millisecond
+	// DefaultReadTimeout is the default of Config.ReadTimeout.
+	DefaultReadTimeout = 1500 * time.Millisecond
 	// DefaultReplicateBeginsAfter is the default of Config.ReplicateBeginsAfter.
 	DefaultReplicateBeginsAfter = 80 * time.Millisecond
 	// DefaultReplicateEndsAfter is the default of Config.ReplicateEndsAfter.
@@ -42,9 +44,12 @@
 	// MinAppendInterval is the minimum time between two appends to a shard. It keeps
 	// the appends of all shards together within the write rate of the platform.
 	MinAppendInterval time.Duration
-	// LogTimeout limits each append to the log, the reads before and after it, and each
-	// replication of records.
+	// LogTimeout limits each append to the log, the wait for the reads before and after
+	// it, and each replication of records.
 	LogTimeout time.Duration
+	// ReadTimeout limits the read of one page of the log. A connection may be silent, so
+	// that only another read gets an answer.
+	ReadTimeout time.Duration
 	// ReplicateBeginsAfter is how long a begin record waits for the log before it is
 	// replicated. If the last append failed, it is replicated without this wait.
 	ReplicateBeginsAfter time.Duration
@@ -101,5 +106,5 @@
 // Load reads a shard from the log unless it is loaded already. It returns an error of
 // KindUnavailable when the shard can't be read.
 func (set *ShardSet) Load(ctx context.Context, number int) error {
-	return set.shard(number).load(ctx, loadForStart)
+	return set.shard(number).ensureLoaded(ctx, loadForStart)
 }
--- a/turn/shardset_test.go
+++ b/turn/shardset_test.go
@@ -43,7 +43,7 @@
 	var set *turn.ShardSet
 	set = turn.New(turn.Config{
 		WriterID: env.lastWriterID, ShardCount: 4, Log: env.log, Replicator: env.replicator, Logger: zap.NewNop(),
-		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter,
+		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter,
 		ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, MaxStaleness: turn.DefaultMaxStaleness, IsHome: func(int) bool { return true },
 		FindElsewhere: func(ctx context.Context, turnID string, exceptShard int) ([]byte, bool, error) {
 			for shard := range 4 {
