Suspend no front because a request to it had no time left

Cause: when a connection to a front could not be set up because the request's own context had ended, the front was pinged over the missing connection, taken for lost and suspended. Change: only a failure within the request's time leads to a ping. A request that ended does not go on to the next home and no longer logs 'home does not answer' for each. Looked elsewhere: roundTrip and beginRemote already check the context before they ping.

--- a/adapter/mesh/exchange.go
+++ b/adapter/mesh/exchange.go
@@ -22,8 +22,8 @@
 	detachContext func() bool
 }
 
-// openExchange sends a request to a front. When it fails, it probes the front and
-// returns an error of KindUnreachable.
+// openExchange sends a request to a front. When it fails before ctx ends, it probes the
+// front. Its errors are of KindUnreachable.
 func (m *Mesh) openExchange(ctx context.Context, t target, r *meshpb.Request) (*exchange, error) {
 	r.From = m.config.Name
 	stream, err := m.sessions.Open(ctx, t.address)
@@ -33,7 +33,9 @@
 		}
 	}
 	if err != nil {
-		m.probe(t)
+		if ctx.Err() == nil {
+			m.probe(t)
+		}
 		return nil, Errorf("request to front "+t.name, KindUnreachable, "%w", err)
 	}
 	x := &exchange{mesh: m, target: t, stream: stream, reader: frame.NewReader(stream)}
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -38,6 +38,9 @@
 		if err == nil || !isUnreachable(err) {
 			return t, err
 		}
+		if ctx.Err() != nil {
+			return nil, turn.Errorf("begin turn", turn.KindUnavailable, "the request ended before its home answered: %w", err)
+		}
 		m.config.Logger.Warn("home does not answer", zap.String("request", r.Attempt), zap.String("front", home.name), zap.Error(err))
 	}
 	if !m.mayAdmit(r.Program) {
