Stop work for another front once the request behind it has ended

Cause: the front that handles a request of another one gave it ten seconds, whatever the time that its caller had, and did not notice that the other front had given up. Evidence: TestHomeStopsSearchingForACallerThatHasLeft failed before: the search ended after ten seconds with its own timeout instead of with its caller. Change: the handler's context ends when the other front closes its side of the stream. The end of an attempt, which settles tokens, is recorded all the same.

--- a/adapter/mesh/exchange_test.go
+++ b/adapter/mesh/exchange_test.go
@@ -10,6 +10,8 @@
 
 	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
 	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/turn"
+	"github.com/lavendervale/lavendervale/turn/turntest"
 )
 
 func newTestMesh(t *testing.T, name string) *Mesh {
@@ -44,3 +46,29 @@
 	require.Error(t, err)
 	require.Equal(t, 1, m.AliveCount())
 }
+
+// TestHomeStopsSearchingForACallerThatHasLeft guards against searches of all fronts for
+// turns whose callers have long been gone.
+func TestHomeStopsSearchingForACallerThatHasLeft(t *testing.T) {
+	m, home := newTestMesh(t, "m"), newTestMesh(t, "home")
+	to := connectTo(m, home)
+	searching, searchEnded := make(chan struct{}), make(chan error, 1)
+	home.SetHandlers(turn.New(turn.Config{
+		WriterID: 1, ShardCount: 4, Log: turntest.NewLog(), Replicator: turntest.NewReplicator(), Logger: zap.NewNop(),
+		LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, IsHome: func(int) bool { return true },
+		FindElsewhere: func(ctx context.Context, _ string, _ int) ([]byte, bool, error) {
+			close(searching)
+			<-ctx.Done()
+			searchEnded <- ctx.Err()
+			return nil, false, ctx.Err()
+		},
+	}), nil)
+	go home.serve(t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		_, _ = m.beginRemote(ctx, to, turn.BeginRequest{Program: "p", Attempt: "a", Previous: "elsewhere"})
+	}()
+	<-searching
+	cancel()
+	require.ErrorIs(t, <-searchEnded, context.Canceled, "the search ends with its caller, not at its own timeout")
+}
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"time"
 
@@ -65,12 +66,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handleTimeout)
 	defer cancel()
+	if request.GetEnd() == nil {
+		go cancelAtEnd(stream, cancel)
+	}
 	handler := requestHandler{mesh: m, out: frame.NewWriter(stream)}
 	if err := handler.handle(ctx, request); err != nil {
 		m.config.Logger.Debug("writing a reply to a front failed", zap.String("front", request.GetFrom()), zap.Error(err))
 	}
 }
 
+// cancelAtEnd calls cancel once the other front has closed its side of a stream that carries
+// nothing after the request. The end of an attempt is recorded all the same.
+func cancelAtEnd(stream *yamux.Stream, cancel context.CancelFunc) {
+	defer cancel()
+	if err := stream.SetReadDeadline(time.Time{}); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, stream)
+}
+
 // requestHandler handles one request of another front and writes the replies.
 type requestHandler struct {
 	mesh *Mesh
