--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -30,6 +30,9 @@
 	AppendResponseLost
 )
 
+// defaultPageKB limits a page of a read that names no limit, in KiB.
+const defaultPageKB = 1024
+
 // Store is an in-memory log store. It is an http.Handler and is safe for concurrent
 // use.
 type Store struct {
@@ -159,7 +162,7 @@
 	case "/api/log-append":
 		s.serveAppend(w, p, query.Get("as_of"), body)
 	case "/api/log-read":
-		serveRead(w, p, query.Get("from"))
+		serveRead(w, p, query.Get("from"), query.Get("max_kb"))
 	case "/api/log-newest":
 		serveNewest(w, p)
 	case "/api/log-trim":
@@ -203,10 +206,16 @@
 }
 
 // serveRead sends the end offset and the first offset of the partition as 8-byte
-// big-endian integers, followed by all records from the requested offset on in the
-// format of an append. If the requested offset has expired, the response is status 410.
-func serveRead(w http.ResponseWriter, p *partition, fromText string) {
+// big-endian integers, followed by records from the requested offset on in the format of
+// an append: at least one if there is any, and no more than maxKBText says, which is
+// defaultPageKB when empty. If the requested offset has expired, the response is status
+// 410.
+func serveRead(w http.ResponseWriter, p *partition, fromText, maxKBText string) {
 	from, _ := strconv.ParseInt(fromText, 10, 64)
+	maxKB, err := strconv.Atoi(maxKBText)
+	if err != nil {
+		maxKB = defaultPageKB
+	}
 	if from < p.firstOffset {
 		writeJSON(w, http.StatusGone, map[string]int64{"first": p.firstOffset})
 		return
@@ -215,6 +224,9 @@
 	response := binary.BigEndian.AppendUint64(nil, uint64(end))
 	response = binary.BigEndian.AppendUint64(response, uint64(p.firstOffset))
 	for i := from - p.firstOffset; i < int64(len(p.records)); i++ {
+		if i > from-p.firstOffset && len(response)+len(p.records[i]) > maxKB<<10 {
+			break
+		}
 		response = binary.BigEndian.AppendUint32(response, uint32(len(p.records[i])))
 		response = append(response, p.records[i]...)
 	}
