Fail a read of a shard that makes no progress

What callers would see: turns of a shard are refused at their deadlines while a front sends hundreds of reads a second. Looked elsewhere: platform's follower of topics of keys ends at an empty page, and reads all keys again after an expired offset once a poll.

--- a/turn/load_test.go
+++ b/turn/load_test.go
@@ -120,3 +120,31 @@
 		})
 	}
 }
+
+// TestReadWithoutProgressFails guards against a read that is sent again and again at once
+// while the log answers without progress.
+func TestReadWithoutProgressFails(t *testing.T) {
+	tests := []struct {
+		name    string
+		records int
+	}{
+		{name: "expired at the offset that it names as the first"},
+		{name: "empty page before the end", records: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTestEnv(t, func(t *testing.T, env *testEnv) {
+				set := env.newShardSet()
+				for i := range test.records {
+					require.NoError(t, begin(t, set, request("p", fmt.Sprint("a", i), 1000)))
+				}
+				env.log.SetFault(turntest.NoProgress)
+				reads := env.log.Reads()
+				_, err := set.Begin(t.Context(), turn.BeginRequest{Program: "p", Attempt: "b", Previous: "unknown"})
+				require.Equal(t, turn.KindUnavailable, turn.KindOf(err))
+				require.Error(t, err)
+				require.LessOrEqual(t, env.log.Reads()-reads, 4, "one read for each shard")
+			})
+		})
+	}
+}
--- a/turn/read.go
+++ b/turn/read.go
@@ -152,15 +152,21 @@
 		offset := s.nextOffset
 		s.mu.Unlock()
 		page, err := s.readPage(offset)
-		if KindOf(err) == KindExpired && err != nil {
+		if err != nil && KindOf(err) == KindExpired && page.FirstOffset > offset {
 			s.mu.Lock()
 			s.nextOffset = max(s.nextOffset, page.FirstOffset)
 			s.mu.Unlock()
 			continue
 		}
+		if err != nil && KindOf(err) == KindExpired {
+			return Errorf("read shard", KindUnavailable, "shard %d begins at %d: %w", s.number, page.FirstOffset, err)
+		}
 		if err != nil {
 			return err
 		}
+		if len(page.Records) == 0 && page.NextOffset > offset {
+			return Errorf("read shard", KindUnavailable, "shard %d ends at %d, but no record was sent from %d on", s.number, page.NextOffset, offset)
+		}
 		s.mu.Lock()
 		for _, record := range page.Records {
 			s.bytesRead += int64(len(record))
--- a/turn/turntest/log.go
+++ b/turn/turntest/log.go
@@ -26,6 +26,9 @@
 	// AppliedLate means that appends time out and take effect after lateAppendDelay, if
 	// the shard then still ends at their offset.
 	AppliedLate
+	// NoProgress means that appends time out without effect, that reads of the first
+	// record are answered as expired, and others with an empty page before the end.
+	NoProgress
 	// Silent means that calls have no effect and never get a response, also when the
 	// fault has ended meanwhile.
 	Silent
@@ -107,7 +110,7 @@
 	case Unavailable:
 		<-ctx.Done()
 		return turn.Errorf("append", turn.KindUnavailable, "log is down")
-	case Silent:
+	case Silent, NoProgress:
 		<-ctx.Done()
 		return turn.Errorf("append", turn.KindUnknown, "no answer: %w", ctx.Err())
 	case ResponseLost:
@@ -154,6 +157,12 @@
 		return turn.Page{}, turn.Errorf("read", turn.KindUnavailable, "log is down")
 	}
 	first := l.firstOffsetByShard[shard]
+	if l.fault == NoProgress && offset == 0 {
+		return turn.Page{}, turn.Errorf("read", turn.KindExpired, "offset 0 was trimmed")
+	}
+	if l.fault == NoProgress {
+		return turn.Page{FirstOffset: first, NextOffset: offset + 1}, nil
+	}
 	if offset < first {
 		return turn.Page{FirstOffset: first}, turn.Errorf("read", turn.KindExpired, "offset %d was trimmed", offset)
 	}
