Know the program of a replicated begin record after a takeover

What callers would see: a program exceeds its budget by more than one turn when its shard is taken over again and again in an outage of the log (BUDGET). Evidence: TestReplicatedBeginIsKnownAfterATakeover failed before: a second begin record of the program was admitted on replicas. Looked elsewhere: the other uses of a write's program are those of own begin records.

--- a/turn/replicate.go
+++ b/turn/replicate.go
@@ -30,7 +30,7 @@
 		return nil
 	}
 	s.state.apply(record)
-	op := &writeOp{record: record, encoded: data, replicated: true}
+	op := &writeOp{record: record, encoded: data, program: record.GetBegin().GetProgram(), replicated: true}
 	s.submit(op)
 	return op
 }
--- a/turn/writeop.go
+++ b/turn/writeop.go
@@ -16,9 +16,10 @@
 	record       *turnpb.Record
 	// encoded is record in the form in which it is appended and replicated.
 	encoded []byte
-	// program, reservedTokens and budgetTokens are set only for the begin record of an
-	// attempt admitted by this process.
-	program        string
+	// program is set only for a begin record.
+	program string
+	// reservedTokens and budgetTokens are set only for the begin record of an attempt
+	// admitted by this process.
 	reservedTokens int64
 	budgetTokens   int64
 	// replicated is set when enough other processes hold the record, so that its
