Drop the conversation fetched for an attempt that is refused

What callers would see: memory of a front grows with each refused attempt to continue a conversation of another shard, until the front is ended for it; programs that loop without end come back with such attempts. Evidence: TestRefusedAttemptKeepsNoConversation failed before: the text was still held. Looked elsewhere: an attempt whose front is lost never ends either; its text stays until the shard is idle for a minute, which is listed in docs/FAULTS.md as open.

--- a/turn/begin.go
+++ b/turn/begin.go
@@ -62,6 +62,7 @@
 		return admitted, nil
 	}
 	if used := s.usedTokensWithPending(r.Program, r.Attempt); used+r.MaxTokens > r.BudgetTokens {
+		delete(s.fetchedTextByAttempt, r.Attempt)
 		return nil, Errorf("begin turn", KindBudget, "budget of %d tokens can't admit %d more: %d are spent or reserved", r.BudgetTokens, r.MaxTokens, used)
 	}
 	admitted.op = &writeOp{
--- /dev/null
+++ b/turn/memory_test.go
@@ -0,0 +1,45 @@
+package turn
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// emptyLog is a log that never holds a record.
+type emptyLog struct{}
+
+func (emptyLog) AppendAt(context.Context, int, int64, [][]byte) error { return nil }
+func (emptyLog) Read(_ context.Context, _ int, offset int64) (Page, error) {
+	return Page{NextOffset: offset}, nil
+}
+func (emptyLog) Trim(context.Context, int, int64) error { return nil }
+
+// noReplicas is a replicator without replicas.
+type noReplicas struct{}
+
+func (noReplicas) Replicate(context.Context, int, [][]byte) error { return nil }
+func (noReplicas) ReleaseReplicas(int, [][]byte)                  {}
+func (noReplicas) Replicas(context.Context, int) [][]byte         { return nil }
+
+func newMemorySet() *ShardSet {
+	return New(Config{
+		WriterID: 1, ShardCount: 1, Log: emptyLog{}, Replicator: noReplicas{}, Logger: zap.NewNop(), LogTimeout: DefaultLogTimeout, ReadTimeout: DefaultReadTimeout,
+		IsHome:        func(int) bool { return true },
+		FindElsewhere: func(context.Context, string, int) ([]byte, bool, error) { return []byte("a conversation"), true, nil },
+	})
+}
+
+// TestRefusedAttemptKeepsNoConversation guards against memory that grows with each refused
+// attempt to continue a conversation of another shard.
+func TestRefusedAttemptKeepsNoConversation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := newMemorySet()
+		_, err := set.Begin(t.Context(), BeginRequest{Program: "p", Attempt: "a", Previous: "elsewhere", BudgetTokens: 10, MaxTokens: 20})
+		require.Equal(t, KindBudget, KindOf(err))
+		require.Empty(t, set.shard(0).fetchedTextByAttempt)
+	})
+}
