Count a new shard as used when it is created

What callers would see: two copies of a shard in one process, each with its own pending writes; a conflict and a second read for each append. Evidence: TestNewShardIsNotDroppedBeforeItsFirstUse failed before: another shard was returned. Looked elsewhere: the session pool sets the time of a new slot.

--- a/turn/memory_test.go
+++ b/turn/memory_test.go
@@ -43,3 +43,14 @@
 		require.Empty(t, set.shard(0).fetchedTextByAttempt)
 	})
 }
+
+// TestNewShardIsNotDroppedBeforeItsFirstUse guards against two copies of a shard in one
+// process.
+func TestNewShardIsNotDroppedBeforeItsFirstUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := newMemorySet()
+		s := set.shard(0)
+		set.expireAndTrim(t.Context())
+		require.Same(t, s, set.shard(0))
+	})
+}
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -45,7 +45,8 @@
 	fetchedTextByAttempt map[string][]byte
 	// appending is set while appendPending runs.
 	appending bool
-	// lastUsedAt is when load was last called, as each request and append does first.
+	// lastUsedAt is when the shard was created or ensureLoaded was last called, as each
+	// request and append does first.
 	lastUsedAt time.Time
 	// syncedAt is when this process last read or appended to the end of the shard.
 	syncedAt time.Time
@@ -77,7 +78,7 @@
 
 func newShard(set *ShardSet, number int) *shard {
 	return &shard{
-		set: set, number: number, state: newState(), pendingByNumber: map[uint64]*writeOp{},
+		set: set, number: number, lastUsedAt: time.Now(), state: newState(), pendingByNumber: map[uint64]*writeOp{},
 		endpointBySession: map[string]string{}, firstSessionByProgram: map[string]string{}, fetchedTextByAttempt: map[string][]byte{},
 	}
 }
