Keep one trim point a second when a shard is read back

Evidence: TestTrimPointsAreAsSparseAfterReadingBack failed before: 1,000 points for 1,000 records of ten seconds, 11 expected at most. Looked elsewhere: nothing else in turn is spaced by the time of reading.

--- a/turn/memory_test.go
+++ b/turn/memory_test.go
@@ -4,9 +4,13 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	turnpb "github.com/lavendervale/lavendervale/api/turn/v1"
 )
 
 // emptyLog is a log that never holds a record.
@@ -54,3 +58,23 @@
 		require.Same(t, s, set.shard(0))
 	})
 }
+
+// TestTrimPointsAreAsSparseAfterReadingBack guards against a trim point for each old record
+// of a shard that is loaded.
+func TestTrimPointsAreAsSparseAfterReadingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemorySet().shard(0)
+		const records, perSecond = 1000, 100
+		var encoded [][]byte
+		written := time.Now().Add(-time.Minute)
+		for i := range records {
+			data, err := proto.Marshal(&turnpb.Record{WrittenMs: written.Add(time.Duration(i) * time.Second / perSecond).UnixMilli()})
+			require.NoError(t, err)
+			encoded = append(encoded, data)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.applyRecords(0, encoded)
+		require.LessOrEqual(t, len(s.trimPoints), records/perSecond+1)
+	})
+}
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -17,6 +17,8 @@
 	rewriteAge = 90 * time.Second
 	// trimAge is the age from which records are trimmed from the log.
 	trimAge = 240 * time.Second
+	// trimPointInterval is the time between the records of two trim points.
+	trimPointInterval = time.Second
 )
 
 // shard is one shard of the log with the state that its records yield.
@@ -87,7 +89,6 @@
 // were applied before, and completes the pending writes of this process among them.
 // s.mu must be held.
 func (s *shard) applyRecords(firstOffset int64, records [][]byte) {
-	now := time.Now()
 	for i, data := range records {
 		offset := firstOffset + int64(i)
 		if offset < s.nextOffset {
@@ -100,8 +101,9 @@
 			continue
 		}
 		s.state.apply(r)
-		if n := len(s.trimPoints); n == 0 || now.Sub(s.trimPoints[n-1].writtenAt) > time.Second {
-			s.trimPoints = append(s.trimPoints, trimPoint{offset: offset, writtenAt: time.UnixMilli(r.GetWrittenMs())})
+		writtenAt := time.UnixMilli(r.GetWrittenMs())
+		if n := len(s.trimPoints); n == 0 || writtenAt.Sub(s.trimPoints[n-1].writtenAt) > trimPointInterval {
+			s.trimPoints = append(s.trimPoints, trimPoint{offset: offset, writtenAt: writtenAt})
 		}
 		if r.GetWriter() == s.set.writerID {
 			s.complete(r.GetAppend(), nil)
