Bound the loads in a gossip datagram

What callers would see: at thousands of endpoints under load a front counts as lost for all others, its shards move, and its requests are refused by homes that do not hear of it. Change: a datagram carries the 1,500 highest loads. A front of the size to design for has about 150 requests under way at once. Looked elsewhere: crashes in a datagram are bounded already.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -1,8 +1,10 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,6 +27,9 @@
 	// storeLostAfter is how long the store must be unreachable for a front to hand its
 	// shards to fronts that reach it. Until then it relays its store calls through them.
 	storeLostAfter = 1500 * time.Millisecond
+	// maxGossipLoads bounds the endpoints in a datagram, those with the highest loads; each
+	// takes up to 16 bytes.
+	maxGossipLoads = 1500
 	// maxDatagramBytes is the size of the receive buffer; the rest of a longer datagram
 	// is lost.
 	maxDatagramBytes = 32 << 10
@@ -50,16 +55,7 @@
 // sendGossip sends one datagram with the state of this front to each other front, to
 // silent ones only with includeSilent.
 func (m *Mesh) sendGossip(includeSilent bool) {
-	storeLost := m.config.StoreUnreachableFor() > storeLostAfter
-	m.peers.setStoreLost(storeLost, time.Now())
-	g := &meshpb.Gossip{
-		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.gossipSequence.Add(1),
-		Weight: m.config.Weight, Leaving: m.leaving.Load(), Starting: m.starting.Load(), StoreLost: storeLost, Crashes: m.crashes.recent(time.Now()),
-	}
-	for _, load := range m.config.Directory.Loads() {
-		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: load.Endpoint, Running: uint32(load.Running)})
-	}
-	data, err := proto.Marshal(g)
+	data, err := proto.Marshal(m.newGossip(time.Now()))
 	if err != nil {
 		m.config.Logger.Error("encoding gossip failed", zap.Error(err))
 		return
@@ -76,6 +72,25 @@
 	}
 }
 
+// newGossip returns the state of this front to send.
+func (m *Mesh) newGossip(now time.Time) *meshpb.Gossip {
+	storeLost := m.config.StoreUnreachableFor() > storeLostAfter
+	m.peers.setStoreLost(storeLost, now)
+	g := &meshpb.Gossip{
+		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.gossipSequence.Add(1),
+		Weight: m.config.Weight, Leaving: m.leaving.Load(), Starting: m.starting.Load(), StoreLost: storeLost, Crashes: m.crashes.recent(now),
+	}
+	loads := m.config.Directory.Loads()
+	if len(loads) > maxGossipLoads {
+		slices.SortFunc(loads, func(a, b endpoint.Load) int { return cmp.Compare(b.Running, a.Running) })
+		loads = loads[:maxGossipLoads]
+	}
+	for _, load := range loads {
+		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: load.Endpoint, Running: uint32(load.Running)})
+	}
+	return g
+}
+
 // receiveGossip handles datagrams until the socket is closed. It ignores those that
 // can't be decoded, carry no name, or come from this front itself.
 func (m *Mesh) receiveGossip() {
