Stop waiting for other fronts when a start is cancelled

What operators would see: a front that is stopped while it starts goes on for up to 1.5 s. Looked elsewhere: the wait of a drain is the grace period itself and has no context.

--- a/daemon/front_lifecycle.go
+++ b/daemon/front_lifecycle.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/lavendervale/lavendervale/timer"
 )
 
 const (
@@ -53,9 +55,7 @@
 	case <-time.After(peerListTimeout):
 		f.config.Logger.Warn("front starts without the list of other fronts", zap.Duration("waited", peerListTimeout))
 	}
-	for waited := time.Duration(0); waited < minPeerWait || (waited < maxPeerWait && 2*f.mesh.AliveCount() < f.mesh.KnownCount()); waited += pollInterval {
-		time.Sleep(pollInterval)
-	}
+	waitForPeers(ctx, f.mesh.AliveCount, f.mesh.KnownCount)
 	for f.routes.Table() == nil || f.directory.Len() == 0 {
 		select {
 		case <-ctx.Done():
@@ -81,6 +81,16 @@
 	f.config.Logger.Info("front is ready", zap.Duration("took", time.Since(started)), zap.Int("endpoints", f.directory.Len()), zap.Int("fronts", f.mesh.AliveCount()))
 }
 
+// waitForPeers waits at least minPeerWait, and then until half of the known fronts are
+// alive, maxPeerWait has passed or ctx ends.
+func waitForPeers(ctx context.Context, alive, known func() int) {
+	for waited := time.Duration(0); waited < minPeerWait || (waited < maxPeerWait && 2*alive() < known()); waited += pollInterval {
+		if timer.Sleep(ctx, pollInterval) != nil {
+			return
+		}
+	}
+}
+
 // ready reports whether the platform should send new callers to the front.
 func (f *Front) ready() bool {
 	f.mu.Lock()
