Refute that unreachable fronts should be found by unwrapping errors

With errors.As the second row of the test fails; no caller wraps an error of this package otherwise.

--- a/adapter/mesh/exchange_test.go
+++ b/adapter/mesh/exchange_test.go
@@ -72,3 +72,23 @@
 	cancel()
 	require.ErrorIs(t, <-searchEnded, context.Canceled, "the search ends with its caller, not at its own timeout")
 }
+
+// TestFrontThatRespondsToPingsIsNotUnreachable guards against moving the home of a shard away
+// from a front that is alive but slow.
+func TestFrontThatRespondsToPingsIsNotUnreachable(t *testing.T) {
+	silent := Errorf("request to front", KindUnreachable, "no reply")
+	tests := []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{name: "no reply", err: silent, want: true},
+		{name: "no reply, but responds to pings", err: turn.Errorf("request to front", turn.KindUnavailable, "the front responds to pings: %w", silent)},
+		{name: "failure that the front reported", err: turn.Errorf("front", turn.KindBudget, "budget spent")},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, isUnreachable(test.err))
+		})
+	}
+}
