--- a/turn/shard.go
+++ b/turn/shard.go
@@ -17,6 +17,8 @@
 	rewriteAge = 90 * time.Second
 	// trimAge is the age from which records are trimmed from the log.
 	trimAge = 240 * time.Second
+	// trimPointInterval is the time between the records of two trim points.
+	trimPointInterval = time.Second
 )
 
 // shard is one shard of the log with the state that its records yield.
@@ -45,7 +47,8 @@
 	fetchedTextByAttempt map[string][]byte
 	// appending is set while appendPending runs.
 	appending bool
-	// lastUsedAt is when load was last called, as each request and append does first.
+	// lastUsedAt is when the shard was created or ensureLoaded was last called, as each
+	// request and append does first.
 	lastUsedAt time.Time
 	// syncedAt is when this process last read or appended to the end of the shard.
 	syncedAt time.Time
@@ -77,7 +80,7 @@
 
 func newShard(set *ShardSet, number int) *shard {
 	return &shard{
-		set: set, number: number, state: newState(), pendingByNumber: map[uint64]*writeOp{},
+		set: set, number: number, lastUsedAt: time.Now(), state: newState(), pendingByNumber: map[uint64]*writeOp{},
 		endpointBySession: map[string]string{}, firstSessionByProgram: map[string]string{}, fetchedTextByAttempt: map[string][]byte{},
 	}
 }
@@ -86,7 +89,6 @@
 // were applied before, and completes the pending writes of this process among them.
 // s.mu must be held.
 func (s *shard) applyRecords(firstOffset int64, records [][]byte) {
-	now := time.Now()
 	for i, data := range records {
 		offset := firstOffset + int64(i)
 		if offset < s.nextOffset {
@@ -99,8 +101,9 @@
 			continue
 		}
 		s.state.apply(r)
-		if n := len(s.trimPoints); n == 0 || now.Sub(s.trimPoints[n-1].writtenAt) > time.Second {
-			s.trimPoints = append(s.trimPoints, trimPoint{offset: offset, writtenAt: time.UnixMilli(r.GetWrittenMs())})
+		writtenAt := time.UnixMilli(r.GetWrittenMs())
+		if n := len(s.trimPoints); n == 0 || writtenAt.Sub(s.trimPoints[n-1].writtenAt) > trimPointInterval {
+			s.trimPoints = append(s.trimPoints, trimPoint{offset: offset, writtenAt: writtenAt})
 		}
 		if r.GetWriter() == s.set.writerID {
 			s.complete(r.GetAppend(), nil)
