Show by a failing test that a search before an append admits turns beyond the budget

A search reads the records of another home; the pending attempts are then appended at the new end without a conflict, and so are not checked against these records.

--- a/turn/budget_read_test.go
+++ b/turn/budget_read_test.go
@@ -63,3 +63,38 @@
 		})
 	}
 }
+
+// TestSearchBeforeAnAppendAdmitsNoTurnsBeyondTheBudget guards against attempts that are
+// admitted on an old state of the shard: a search reads the records of another home before
+// the pending attempts are appended, and nobody checks them against these records.
+func TestSearchBeforeAnAppendAdmitsNoTurnsBeyondTheBudget(t *testing.T) {
+	const (
+		turns  = 5
+		budget = turns * 100
+	)
+	withTestEnv(t, func(t *testing.T, env *testEnv) {
+		shard := turn.ShardOf("p", 4)
+		first, second := env.newShardSet(), env.newShardSet()
+		for _, set := range []*turn.ShardSet{first, second} {
+			require.NoError(t, set.Load(t.Context(), shard))
+		}
+		for i := range turns {
+			require.NoError(t, begin(t, first, request("p", fmt.Sprint("first", i), budget)))
+		}
+		var admissions []turn.Admission
+		for i := range turns {
+			admission, err := second.Begin(t.Context(), request("p", fmt.Sprint("second", i), budget))
+			require.NoError(t, err)
+			admissions = append(admissions, admission)
+		}
+		_, _, err := second.Find(t.Context(), "unknown turn", []int{shard})
+		require.NoError(t, err)
+		beyond := 0
+		for _, admission := range admissions {
+			if admission.Wait(t.Context()) == nil {
+				beyond++
+			}
+		}
+		assert.LessOrEqual(t, beyond, 1, "turns admitted beyond a spent budget; one is allowed")
+	})
+}
