--- a/adapter/session/pool_test.go
+++ b/adapter/session/pool_test.go
@@ -44,3 +44,23 @@
 	wg.Wait()
 	assert.Less(t, time.Since(started), 3*dialTime, "%d requests at the same time", requests)
 }
+
+// TestOpenEndsWithItsContext guards against a request that waits for the dials of others
+// after its own deadline.
+func TestOpenEndsWithItsContext(t *testing.T) {
+	const requests = 10
+	pool := newSilentPool()
+	defer pool.Close()
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() { _, _ = pool.Open(t.Context(), "192.0.2.1:1") })
+	}
+	time.Sleep(dialTime / 2)
+	ctx, cancel := context.WithTimeout(t.Context(), dialTime/2)
+	defer cancel()
+	started := time.Now()
+	_, err := pool.Open(ctx, "192.0.2.1:1")
+	assert.Error(t, err)
+	assert.Less(t, time.Since(started), 2*dialTime, "the context ended after %v", dialTime/2)
+	wg.Wait()
+}
