--- a/adapter/session/pool_test.go
+++ b/adapter/session/pool_test.go
@@ -64,3 +64,20 @@
 	assert.Less(t, time.Since(started), 2*dialTime, "the context ended after %v", dialTime/2)
 	wg.Wait()
 }
+
+// TestPingOfASilentAddressDoesNotWaitForDials guards against a lost front that keeps getting
+// requests, because the ping that would suspend it waits in line behind them.
+func TestPingOfASilentAddressDoesNotWaitForDials(t *testing.T) {
+	const requests = 10
+	pool := newSilentPool()
+	defer pool.Close()
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() { _, _ = pool.Open(t.Context(), "192.0.2.1:1") })
+	}
+	time.Sleep(dialTime / 2)
+	started := time.Now()
+	assert.False(t, pool.PingOrClose("192.0.2.1:1", dialTime))
+	assert.Less(t, time.Since(started), 3*dialTime)
+	wg.Wait()
+}
