--- /dev/null
+++ b/adapter/mesh/home_test.go
@@ -0,0 +1,70 @@
+package mesh
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/turn"
+	"github.com/lavendervale/lavendervale/turn/turntest"
+)
+
+// loadTime is how long a home needs to read a shard: more than replyTimeout, and less than
+// the callers have.
+const loadTime = replyTimeout + 400*time.Millisecond
+
+// newFrontAndHome returns a front that is starting and one that has started and is the home
+// of all shards, with the log that the home reads.
+func newFrontAndHome(t *testing.T) (front, home *Mesh, log *turntest.Log) {
+	log = turntest.NewLog()
+	log.SetReadDelay(loadTime)
+	var fronts []*Mesh
+	for i, name := range []string{"front", "home"} {
+		m, err := New(Config{
+			Name: name, Domain: name, Incarnation: 1, Weight: 1, Address: "127.0.0.1:0", Shards: 4, Directory: endpoint.NewDirectory(),
+			StoreUnreachableFor: func() time.Duration { return 0 }, Logger: zap.NewNop(),
+		})
+		require.NoError(t, err)
+		m.SetHandlers(turn.New(turn.Config{
+			WriterID: uint64(i + 1), ShardCount: 4, Log: log, Replicator: m, FindElsewhere: m.Find, Logger: zap.NewNop(), IsHome: m.IsHome,
+			Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, MaxStaleness: turn.DefaultMaxStaleness,
+			ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter,
+		}), nil)
+		fronts = append(fronts, m)
+	}
+	front, home = fronts[0], fronts[1]
+	front.AddFront("home", home.Address())
+	home.AddFront("front", front.Address())
+	home.MarkStarted()
+	for _, m := range fronts {
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			m.Run(ctx)
+		}()
+		t.Cleanup(func() { cancel(); <-done })
+	}
+	require.Eventually(t, func() bool { return front.AliveCount() == 1 && home.AliveCount() == 1 }, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, "home", front.homeOfShard(0).name)
+	return front, home, log
+}
+
+// TestHomeAdmitsNoAttemptWhoseCallerHasLeft guards against handlers that outlive the
+// requests they serve: while a shard is loaded they pile up, and then all are admitted and
+// written to the log.
+func TestHomeAdmitsNoAttemptWhoseCallerHasLeft(t *testing.T) {
+	front, home, log := newFrontAndHome(t)
+	ctx, cancel := context.WithTimeout(t.Context(), replyTimeout/2)
+	defer cancel()
+	_, err := front.Begin(ctx, turn.BeginRequest{Program: "p", Attempt: "a", BudgetTokens: 100, MaxTokens: 100})
+	require.Error(t, err)
+	time.Sleep(2 * loadTime)
+	require.Equal(t, 1, home.shardSet.Status().LoadedShards)
+	assert.Zero(t, log.Appends(), "the caller has left %v before the shard was loaded", loadTime-replyTimeout/2)
+}
