--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -68,3 +68,13 @@
 	require.Equal(t, 1, home.shardSet.Status().LoadedShards)
 	assert.Zero(t, log.Appends(), "the caller has left %v before the shard was loaded", loadTime-replyTimeout/2)
 }
+
+// TestBeginWaitsForTheLoadAtTheHome guards against requests that are refused while their
+// home loads a shard, though they have time to wait for it.
+func TestBeginWaitsForTheLoadAtTheHome(t *testing.T) {
+	front, _, _ := newFrontAndHome(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := front.Begin(ctx, turn.BeginRequest{Program: "p", Attempt: "a", BudgetTokens: 100, MaxTokens: 100})
+	assert.NoError(t, err, "the shard is loaded within %v", loadTime)
+}
