Check pending attempts against every record read, not only after a conflict

Cause: pending attempts were checked only by the append that met a conflict, after its own read. When a search or another wait read the records of the other home first, or when the read outlasted the append's wait for it, the next append succeeded at the fresh offset with attempts that no longer fit. Change: the attempts of a program are checked whenever records of other processes for it are applied; an append takes its offset and its writes under one lock. Looked elsewhere: replicas that are taken over leave the checks as they were, since their callers have continued.

--- a/turn/append.go
+++ b/turn/append.go
@@ -34,8 +34,8 @@
 	for {
 		s.waitForBatch(max(retryDelay, s.set.config.MinAppendInterval-time.Since(lastAppendAt)))
 		s.mu.Lock()
-		batch := s.nextBatch()
-		if len(batch) == 0 {
+		pending := len(s.pending)
+		if pending == 0 {
 			s.appending = false
 			s.mu.Unlock()
 			s.releaseReplicas()
@@ -43,13 +43,13 @@
 		}
 		s.mu.Unlock()
 		lastAppendAt = time.Now()
-		err := s.tryAppend(batch)
+		err := s.tryAppend()
 		s.releaseReplicas()
 		if err == nil {
 			retryDelay = 0
 			continue
 		}
-		s.set.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", len(batch)), zap.Error(err))
+		s.set.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", pending), zap.Error(err))
 		retryDelay = min(maxRetryDelay, max(minRetryDelay, 2*retryDelay))
 	}
 }
@@ -91,24 +91,26 @@
 	return least
 }
 
-// tryAppend appends a batch at the end of the shard. If another process has written
-// to the shard meanwhile, tryAppend applies its records, refuses the pending attempts
-// that no longer fit their budgets, and leaves the batch pending for the next call.
-func (s *shard) tryAppend(batch []*writeOp) error {
+// tryAppend appends the oldest pending writes at the end of the shard. If another process has written
+// to the shard meanwhile, tryAppend reads its records and leaves the writes pending for
+// the next call.
+func (s *shard) tryAppend() error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.LogTimeout)
 	defer cancel()
 	if err := s.ensureLoaded(ctx, loadForAppend); err != nil {
 		s.setAppendFailing(true)
 		return err
 	}
+	// The writes pending now fit their budgets after all records before this offset.
 	s.mu.Lock()
-	offset := s.nextOffset
+	offset, batch := s.nextOffset, s.nextBatch()
 	s.mu.Unlock()
+	if len(batch) == 0 {
+		return nil
+	}
 	err := s.appendAt(offset, batch)
 	if err != nil && KindOf(err) == KindConflict {
-		if err = s.readToEnd(ctx); err == nil {
-			s.refuseOverBudget()
-		}
+		err = s.readToEnd(ctx)
 	}
 	s.setAppendFailing(err != nil)
 	return err
@@ -176,14 +178,15 @@
 	return sum
 }
 
-// refuseOverBudget refuses the pending attempts that no longer fit their budgets
-// because another process has written to the shard. Attempts with replicated begin
-// records stay: their callers may already have continued.
-func (s *shard) refuseOverBudget() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// refuseOverBudget refuses the pending attempts of the given programs that no longer fit
+// their budgets because another process has written to the shard. Attempts with replicated
+// begin records stay: their callers may already have continued. s.mu must be held.
+func (s *shard) refuseOverBudget(programs map[string]bool) {
+	if len(programs) == 0 {
+		return
+	}
 	for _, op := range append([]*writeOp(nil), s.pending...) {
-		if op.budgetTokens == 0 || op.replicated {
+		if op.budgetTokens == 0 || op.replicated || !programs[op.program] {
 			continue
 		}
 		if s.usedTokensWithPending(op.program, op.record.GetBegin().GetAttempt())+op.reservedTokens > op.budgetTokens {
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -86,9 +86,11 @@
 }
 
 // applyRecords applies records that start at firstOffset in the log, except those that
-// were applied before, and completes the pending writes of this process among them.
-// s.mu must be held.
+// were applied before, and completes the pending writes of this process among them. It
+// refuses the pending attempts that no longer fit their budgets because of records of other
+// processes. s.mu must be held.
 func (s *shard) applyRecords(firstOffset int64, records [][]byte) {
+	programs := map[string]bool{}
 	for i, data := range records {
 		offset := firstOffset + int64(i)
 		if offset < s.nextOffset {
@@ -107,6 +109,17 @@
 		}
 		if r.GetWriter() == s.set.writerID {
 			s.complete(r.GetAppend(), nil)
+		} else {
+			programs[programOf(r)] = true
 		}
 	}
+	s.refuseOverBudget(programs)
+}
+
+// programOf returns the program of a record.
+func programOf(r *turnpb.Record) string {
+	if b := r.GetBegin(); b != nil {
+		return b.GetProgram()
+	}
+	return r.GetEnd().GetProgram()
 }
