Acknowledge no turn whose earlier text could not be read

What callers would see: a turn that was answered whole can't be continued, 404 (LOST). Cause: a home that ended a turn and could not read the turn it continues wrote the new text alone, taking the earlier turns to be in the same shard. When they were in another one, the record was ignored on reading back. An end at a home that had not loaded the shard also read it a second time beside the load. Change: an end with a turn loads the shard first and returns the error of the search; the front that asked, which may be the home itself, tries again while its caller waits. Looked elsewhere: begin already returned the error of the search.

--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -153,8 +153,9 @@
 }
 
 // End settles an attempt at the home of its program; a completed turn is durable when
-// it returns nil. After any failure of another front it retries, at the new home when that
-// has changed, until ctx ends; the error is then of turn.KindUnavailable.
+// it returns nil. After a failure it retries, at the new home when that has changed, until
+// ctx ends; the error is then of turn.KindUnavailable. It is of turn.KindNotFound when no
+// shard holds the turn that was continued.
 func (m *Mesh) End(ctx context.Context, r turn.EndRequest) error {
 	end := &meshpb.End{Program: r.Program, Session: r.Session, Attempt: r.Attempt, Tokens: r.DeliveredTokens, Endpoint: r.Endpoint}
 	if r.Completed != nil {
@@ -162,12 +163,14 @@
 	}
 	for {
 		home := m.homeOfProgram(ctx, r.Program)
+		var err error
 		if home.name == m.config.Name {
-			return m.shardSet.End(ctx, r)
+			err = m.shardSet.End(ctx, r)
+		} else {
+			err = m.roundTripWhileAlive(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: end}})
 		}
-		err := m.roundTripWhileAlive(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: end}})
-		if err == nil {
-			return nil
+		if err == nil || turn.KindOf(err) == turn.KindNotFound {
+			return err
 		}
 		if ctx.Err() != nil {
 			return turn.Errorf("end turn", turn.KindUnavailable, "the home did not record the end in time: %w", err)
--- a/turn/end.go
+++ b/turn/end.go
@@ -16,6 +16,9 @@
 	s := set.shard(ShardOf(r.Program, set.config.ShardCount))
 	end := &turnpb.End{Program: r.Program, Attempt: r.Attempt, Tokens: r.DeliveredTokens}
 	if r.Completed != nil {
+		if err := s.ensureLoaded(ctx, loadForEnd); err != nil {
+			return err
+		}
 		t, err := s.turnRecord(ctx, r)
 		if err != nil {
 			return err
@@ -62,12 +65,6 @@
 	}
 	if !rewrite {
 		text, err := s.findConversation(ctx, BeginRequest{Attempt: r.Attempt, Previous: r.Completed.Previous})
-		if err != nil && KindOf(err) != KindNotFound {
-			// Begin has found the earlier turns, so they are most likely in this shard.
-			// If they are in another one, the process that ran Begin and fetched their
-			// text is lost.
-			return t, nil
-		}
 		if err != nil {
 			return nil, err
 		}
--- a/turn/read.go
+++ b/turn/read.go
@@ -20,6 +20,7 @@
 const (
 	loadForStart    loadReason = "start"
 	loadForBegin    loadReason = "begin"
+	loadForEnd      loadReason = "end"
 	loadForFind     loadReason = "find"
 	loadForAppend   loadReason = "append"
 	loadForReplicas loadReason = "replicas"
