Try a load again while callers wait, and let slow reads of a page end

What callers would see: one refused or unanswered read of a shard refuses all requests for it, though they have seconds left and the log answers again at once; a front that starts becomes the home of shards that it has not loaded. While the log is slow, a page that takes longer than 1.5 s is thrown away and read anew without end. Cause: a load ended with its first failed read, and a read of a page was given up after 1.5 s. Change: a load is tried again every 50 ms while somebody waits, each with its own context. A read that has not ended after 1.5 s goes on beside another one, up to three, so that both a slow log and a silent connection come to an end. Looked elsewhere: reads to the end of a loaded shard end with their first failure, since the callers that retry them wait as well.

--- a/turn/read.go
+++ b/turn/read.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// readRetryDelay is the time after a failed load or read in which no other one of the
-	// same shard begins.
+	// readRetryDelay is the time after a failed read of a shard in which no other one
+	// begins.
 	readRetryDelay = 50 * time.Millisecond
+	// maxPageReads bounds the reads of one page that are under way at the same time.
+	maxPageReads = 3
 )
 
 // loadReason says in the log what a shard is loaded for.
@@ -32,6 +34,10 @@
 	// done is closed at the end; err is set before.
 	done chan struct{}
 	err  error
+	// waiting counts the callers that wait for a load; lastErr is why its last try failed.
+	// The mutex of the shard guards both.
+	waiting int
+	lastErr error
 }
 
 func newLogRead() *logRead { return &logRead{done: make(chan struct{})} }
@@ -53,8 +59,8 @@
 }
 
 // ensureLoaded waits until the shard was read to its end, unless it was before. All
-// callers share one load; within readRetryDelay after a failed one they get its error.
-// The reason is logged.
+// callers share one load, which is tried again while any of them waits. The reason is
+// logged.
 func (s *shard) ensureLoaded(ctx context.Context, reason loadReason) error {
 	s.mu.Lock()
 	s.lastUsedAt = time.Now()
@@ -67,13 +73,38 @@
 		go s.runLoad(s.load, reason)
 	}
 	load := s.load
+	load.waiting++
 	s.mu.Unlock()
-	return load.wait(ctx, s.number)
+	err := load.wait(ctx, s.number)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load.waiting--
+	if err != nil && load.lastErr != nil {
+		err = Errorf("load shard", KindUnavailable, "%w; the last read failed: %w", err, load.lastErr)
+	}
+	return err
 }
 
-// runLoad reads the shard to its end and queues the replicas of its records that other
-// processes hold.
+// runLoad tries to load the shard until it succeeds or nobody waits for it.
 func (s *shard) runLoad(load *logRead, reason loadReason) {
+	for {
+		err := s.tryLoad(reason)
+		s.mu.Lock()
+		load.lastErr = err
+		if err == nil || load.waiting == 0 {
+			s.load = nil
+			load.finish(err)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		time.Sleep(readRetryDelay)
+	}
+}
+
+// tryLoad reads the shard to its end and queues the replicas of its records that other
+// processes hold.
+func (s *shard) tryLoad(reason loadReason) error {
 	started := time.Now()
 	err := s.readPages()
 	var replicas [][]byte
@@ -84,28 +115,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer load.finish(err)
 	fields := []zap.Field{
 		zap.Int("shard", s.number), zap.String("for", string(reason)), zap.Bool("home", s.set.config.IsHome(s.number)),
 		zap.Int64("end", s.nextOffset), zap.Int64("bytes", s.bytesRead), zap.Duration("took", time.Since(started)),
 	}
 	if err != nil {
 		s.set.config.Logger.Warn("shard not loaded", append(fields, zap.Error(err))...)
-		time.AfterFunc(readRetryDelay, s.clearLoad)
-		return
+		return err
 	}
-	s.loaded, s.load = true, nil
+	s.loaded = true
 	for _, data := range replicas {
 		s.submitReplica(data)
 	}
 	s.set.config.Logger.Info("shard loaded", append(fields, zap.Int("turns", len(s.state.turns)), zap.Int("copies", len(replicas)))...)
-}
-
-// clearLoad lets the next request for the shard begin another load.
-func (s *shard) clearLoad() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.load = nil
+	return nil
 }
 
 // readToEnd waits for a read to the end of the shard that begins after the call. All
@@ -184,9 +207,31 @@
 	}
 }
 
-// readPage reads one page of the log within Config.ReadTimeout.
+// pageResult is the outcome of one read of a page.
+type pageResult struct {
+	page Page
+	err  error
+}
+
+// readPage reads one page of the log. While none of the reads under way has ended after
+// Config.ReadTimeout, it begins another one beside them, up to maxPageReads: a read on a
+// silent connection never ends, and one of a slow log must not begin anew.
 func (s *shard) readPage(offset int64) (Page, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.ReadTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), maxPageReads*s.set.config.ReadTimeout)
 	defer cancel()
-	return s.set.config.Log.Read(ctx, s.number, offset)
+	results := make(chan pageResult, maxPageReads)
+	for reads := 0; ; {
+		if reads < maxPageReads {
+			reads++
+			go func() {
+				page, err := s.set.config.Log.Read(ctx, s.number, offset)
+				results <- pageResult{page: page, err: err}
+			}()
+		}
+		select {
+		case r := <-results:
+			return r.page, r.err
+		case <-time.After(s.set.config.ReadTimeout):
+		}
+	}
 }
