Count an attempt whose end is pending with the tokens it delivered

What callers would see: 402 for a budget that was never spent, which ends the program. Cause: while a shard loads, attempts whose callers have left are released before their begin records are in the log; such a pending begin still counted in full. Change: of an attempt with a pending end, the delivered tokens count instead. Looked elsewhere: the state that is read back already ignores a begin after its end.

--- a/turn/append.go
+++ b/turn/append.go
@@ -162,17 +162,30 @@
 }
 
 // usedTokensWithPending returns the tokens that a program has spent or reserved,
-// including those of pending records but not those reserved for exceptAttempt. s.mu
-// must be held.
+// including those of pending records but not those reserved for exceptAttempt. An attempt
+// whose end is pending counts with its delivered tokens. s.mu must be held.
 func (s *shard) usedTokensWithPending(program, exceptAttempt string) int64 {
 	sum := s.state.usedTokens(program, exceptAttempt)
 	reserved := s.state.reservedByAttempt(program)
+	ended := map[string]bool{}
 	for _, op := range s.pending {
-		if b := op.record.GetBegin(); b.GetProgram() == program && b.GetAttempt() != exceptAttempt && reserved[b.GetAttempt()] == 0 {
-			sum += b.GetTokens()
+		e := op.record.GetEnd()
+		if e.GetProgram() != program || ended[e.GetAttempt()] || s.state.hasEnded(program, e.GetAttempt()) {
+			continue
 		}
-		if e := op.record.GetEnd(); e.GetProgram() == program && reserved[e.GetAttempt()] > 0 {
-			sum += e.GetTokens() - reserved[e.GetAttempt()]
+		ended[e.GetAttempt()] = true
+		sum += e.GetTokens()
+		if e.GetAttempt() != exceptAttempt {
+			sum -= reserved[e.GetAttempt()]
+		}
+	}
+	for _, op := range s.pending {
+		b := op.record.GetBegin()
+		if b.GetProgram() != program || b.GetAttempt() == exceptAttempt || ended[b.GetAttempt()] || s.state.hasEnded(program, b.GetAttempt()) {
+			continue
+		}
+		if _, ok := reserved[b.GetAttempt()]; !ok {
+			sum += b.GetTokens()
 		}
 	}
 	return sum
--- a/turn/state.go
+++ b/turn/state.go
@@ -85,6 +85,16 @@
 	return sum
 }
 
+// hasEnded reports whether the end record of a program's attempt was applied.
+func (s *state) hasEnded(program, attempt string) bool {
+	p, ok := s.programs[program]
+	if !ok {
+		return false
+	}
+	_, ended := p.endedAttempts[attempt]
+	return ended
+}
+
 // reservedByAttempt returns the reserved tokens of a program's attempts that have not
 // ended.
 func (s *state) reservedByAttempt(id string) map[string]int64 {
