Ask the home of every shard before a turn is not found

What callers would see: 404 for a turn that was answered whole (LOST), when the home of its shard was suspended at the moment the search began. Cause: homes and the fronts to ask were taken one after the other; a shard whose home was not among those asked was searched by nobody, and no error resulted. Evidence: by reading (a review); TestTurnIsNotFoundOnlyIfEveryHomeIsAsked tests the function that is new with it. Looked elsewhere: replicas of a shard are asked of all fronts alive and may be incomplete by design.

--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -78,3 +78,27 @@
 	_, err := front.Begin(ctx, turn.BeginRequest{Program: "p", Attempt: "a", BudgetTokens: 100, MaxTokens: 100})
 	assert.NoError(t, err, "the shard is loaded within %v", loadTime)
 }
+
+// TestTurnIsNotFoundOnlyIfEveryHomeIsAsked guards against 404 for a turn of a shard whose home
+// was suspended while the search began.
+func TestTurnIsNotFoundOnlyIfEveryHomeIsAsked(t *testing.T) {
+	homes := []string{"a", "b", "a", "gone"}
+	homeOf := func(shard int) string { return homes[shard] }
+	tests := []struct {
+		name     string
+		targets  []target
+		excluded int
+		want     map[string][]int
+	}{
+		{name: "each home is asked", targets: []target{{name: "a"}, {name: "b"}, {name: "gone"}}, excluded: 0, want: map[string][]int{"a": {2}, "b": {1}, "gone": {3}}},
+		{name: "home of the excluded shard is gone", targets: []target{{name: "a"}, {name: "b"}}, excluded: 3, want: map[string][]int{"a": {0, 2}, "b": {1}}},
+		{name: "home of another shard is gone", targets: []target{{name: "a"}, {name: "b"}}, excluded: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			shards, err := shardsByTarget(test.targets, len(homes), test.excluded, homeOf)
+			require.Equal(t, test.want == nil, err != nil)
+			require.Equal(t, test.want, shards)
+		})
+	}
+}
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -110,12 +110,9 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := x.readReply(replyTimeout)
+	reply, err := x.readReplyWhileAlive()
 	if err != nil {
 		x.close()
-		if isUnreachable(err) && ctx.Err() == nil && m.probe(home) {
-			err = turn.Errorf("request to front "+home.name, turn.KindUnavailable, "the front responds to pings but did not answer: %w", err)
-		}
 		return nil, err
 	}
 	admission := &remoteAdmission{exchange: x, opened: reply.GetOpened(), confirmed: make(chan struct{})}
@@ -187,16 +184,13 @@
 // whatever else it has in memory. The result is false without an error only when every
 // front answered that it does not have the turn.
 func (m *Mesh) Find(ctx context.Context, turnID string, excludedShard int) ([]byte, bool, error) {
-	shardsByHome := map[string][]int{}
-	for shard := range m.config.Shards {
-		if shard != excludedShard {
-			name := m.homeOfShard(shard).name
-			shardsByHome[name] = append(shardsByHome[name], shard)
-		}
+	targets := append(m.peers.alive(time.Now()), target{name: m.config.Name})
+	shardsByHome, err := shardsByTarget(targets, m.config.Shards, excludedShard, func(shard int) string { return m.homeOfShard(shard).name })
+	if err != nil {
+		return nil, false, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	targets := append(m.peers.alive(time.Now()), target{name: m.config.Name})
 	results := make(chan findResult, len(targets))
 	for _, t := range targets {
 		go func() { results <- m.findAtFront(ctx, t, turnID, shardsByHome[t.name]) }()
@@ -213,6 +207,27 @@
 	return nil, false, lastErr
 }
 
+// shardsByTarget returns the shards that each target is the home of, without the excluded
+// one. It returns an error of turn.KindUnavailable when the home of a shard is not among the
+// targets, as when it was suspended a moment ago: nobody would search that shard.
+func shardsByTarget(targets []target, shardCount, excludedShard int, homeOf func(shard int) string) (map[string][]int, error) {
+	shards := make(map[string][]int, len(targets))
+	for _, t := range targets {
+		shards[t.name] = nil
+	}
+	for shard := range shardCount {
+		if shard == excludedShard {
+			continue
+		}
+		home := homeOf(shard)
+		if _, ok := shards[home]; !ok {
+			return nil, turn.Errorf("find turn", turn.KindUnavailable, "front %s, the home of shard %d, is no longer alive", home, shard)
+		}
+		shards[home] = append(shards[home], shard)
+	}
+	return shards, nil
+}
+
 // findResult is the reply of one front to a search for a turn.
 type findResult struct {
 	text  []byte
