Wait for a home that is alive as long as the caller does

A turn has few tries, so a program was lost to a load of a second. Cause: a fixed wait for the reply of the home, whatever the caller had left. Change: the front waits while the home responds to pings. A turn that is not admitted 50 ms before its deadline is refused, so that the caller learns that it did not run. Looked elsewhere: ends of attempts already waited so; searches have a bound of their own.

--- a/adapter/mesh/exchange.go
+++ b/adapter/mesh/exchange.go
@@ -99,20 +99,31 @@
 		return err
 	}
 	defer x.close()
-	result := make(chan error, 1)
+	_, err = x.readReplyWhileAlive()
+	return err
+}
+
+// readReplyWhileAlive waits for the next reply up to handleTimeout, or until the front stops
+// responding to pings. The end of the request's context ends it as well.
+func (x *exchange) readReplyWhileAlive() (*meshpb.Reply, error) {
+	type result struct {
+		reply *meshpb.Reply
+		err   error
+	}
+	results := make(chan result, 1)
 	go func() {
-		_, err := x.readReply(handleTimeout)
-		result <- err
+		reply, err := x.readReply(handleTimeout)
+		results <- result{reply: reply, err: err}
 	}()
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case err := <-result:
-			return err
+		case r := <-results:
+			return r.reply, r.err
 		case <-ticker.C:
-			if !m.probe(t) {
-				return Errorf("request to front "+t.name, KindUnreachable, "the front does not respond to pings")
+			if !x.mesh.probe(x.target) {
+				return nil, Errorf("request to front "+x.target.name, KindUnreachable, "the front does not respond to pings")
 			}
 		}
 	}
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -11,8 +11,13 @@
 	"github.com/lavendervale/lavendervale/turn"
 )
 
-// endTurnTimeout bounds the recording of a turn after all its events have been sent.
-const endTurnTimeout = 8 * time.Second
+const (
+	// endTurnTimeout bounds the recording of a turn after all its events have been sent.
+	endTurnTimeout = 8 * time.Second
+	// refusalReserve is the time before its deadline at which a turn that is not admitted
+	// yet is refused, so that the refusal reaches the caller.
+	refusalReserve = 50 * time.Millisecond
+)
 
 // beginTurn admits the turn. If the result of the admission is unknown, it releases the
 // tokens that may have been reserved, in the background.
@@ -21,6 +26,10 @@
 	if !c.needsTurn() {
 		return untrackedAdmission{}, nil
 	}
+	// The admission goes on with this context, so it is not cancelled on return.
+	ctx, cancel := context.WithCancel(ctx)
+	limit := time.AfterFunc(time.Until(c.deadline)-refusalReserve, cancel)
+	defer limit.Stop()
 	admission, err := c.TurnTracker.Begin(ctx, turn.BeginRequest{
 		Program: c.turnProgram(), Session: r.Session, Attempt: r.ID, Previous: c.previousTurn(), BudgetTokens: r.BudgetTokens, MaxTokens: r.MaxTokens,
 	})
