--- a/turn/read.go
+++ b/turn/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,8 +10,9 @@
 
 const (
 	// readRetryDelay is the time after a failed read of a shard in which no other one
-	// begins.
-	readRetryDelay = 50 * time.Millisecond
+	// begins. For loads it doubles with each further failure up to maxLoadRetryDelay.
+	readRetryDelay    = 50 * time.Millisecond
+	maxLoadRetryDelay = 400 * time.Millisecond
 	// maxPageReads bounds the reads of one page that are under way at the same time.
 	maxPageReads = 3
 )
@@ -87,7 +89,7 @@
 
 // runLoad tries to load the shard until it succeeds or nobody waits for it.
 func (s *shard) runLoad(load *logRead, reason loadReason) {
-	for {
+	for delay := readRetryDelay; ; delay = min(2*delay, maxLoadRetryDelay) {
 		err := s.tryLoad(reason)
 		s.mu.Lock()
 		load.lastErr = err
@@ -98,7 +100,7 @@
 			return
 		}
 		s.mu.Unlock()
-		time.Sleep(readRetryDelay)
+		time.Sleep(delay/2 + rand.N(delay))
 	}
 }
 
