Have the home append the settlements of a shard that is not loaded here

Cause: a front that refused or released an attempt while it took itself for the home keeps the settlement to write, and loaded the whole shard for it, trying for ever. Change: such records go to the home, which appends them as it does for lost fronts. Begin records and turns are only written by fronts that have loaded the shard. Looked elsewhere: replicas of lost fronts already went this way.

--- a/adapter/mesh/replicas.go
+++ b/adapter/mesh/replicas.go
@@ -280,7 +280,7 @@
 		m.logHomeChanges(owned)
 		for shard, records := range m.replicas.orphans(m.peers.hasRecentGossip) {
 			appendCtx, cancel := context.WithTimeout(ctx, handleTimeout)
-			err := m.appendAtHome(appendCtx, shard, records)
+			err := m.appendOrphans(appendCtx, shard, records)
 			cancel()
 			if err != nil {
 				m.config.Logger.Warn("appending the replicas of a lost front failed", zap.Int("shard", shard), zap.Int("records", len(records)), zap.Error(err))
@@ -292,12 +292,22 @@
 	}
 }
 
-// appendAtHome has the home of a shard append records that are held as replicas.
-func (m *Mesh) appendAtHome(ctx context.Context, shard int, records [][]byte) error {
+// AppendAtHome has the home of a shard, another front, append records. It returns when the
+// log has them. Its error is of KindUnreachable when this front is the home.
+func (m *Mesh) AppendAtHome(ctx context.Context, shard int, records [][]byte) error {
 	home := m.homeOfShard(shard)
 	if home.name == m.config.Name {
-		return m.shardSet.AppendReplicas(ctx, shard, records)
+		return Errorf("append records at home", KindUnreachable, "this front is the home of shard %d", shard)
 	}
 	request := &meshpb.Request{Body: &meshpb.Request_Copies{Copies: &meshpb.Copies{Shard: uint32(shard), Records: records, Adopt: true}}}
 	return m.roundTripWhileAlive(ctx, home, request)
 }
+
+// appendOrphans has the home of a shard, which may be this front, append records that are
+// held as replicas.
+func (m *Mesh) appendOrphans(ctx context.Context, shard int, records [][]byte) error {
+	if m.IsHome(shard) {
+		return m.shardSet.AppendReplicas(ctx, shard, records)
+	}
+	return m.AppendAtHome(ctx, shard, records)
+}
--- a/turn/append.go
+++ b/turn/append.go
@@ -97,6 +97,11 @@
 func (s *shard) tryAppend() error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.LogTimeout)
 	defer cancel()
+	if s.isForeign() {
+		err := s.appendAtHome(ctx)
+		s.setAppendFailing(err != nil)
+		return err
+	}
 	if err := s.ensureLoaded(ctx, loadForAppend); err != nil {
 		s.setAppendFailing(true)
 		return err
@@ -116,6 +121,41 @@
 	return err
 }
 
+// isForeign reports whether the shard is not loaded and another process is its home. Only
+// records that need no state of the shard are pending then: settlements of attempts.
+func (s *shard) isForeign() bool {
+	if s.set.config.IsHome(s.number) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.loaded && s.load == nil
+}
+
+// appendAtHome has the home of the shard append the oldest pending writes, which saves
+// loading the shard here for them.
+func (s *shard) appendAtHome(ctx context.Context) error {
+	s.mu.Lock()
+	batch := s.nextBatch()
+	s.mu.Unlock()
+	if len(batch) == 0 {
+		return nil
+	}
+	records := make([][]byte, len(batch))
+	for i, op := range batch {
+		records[i] = op.encoded
+	}
+	if err := s.set.config.Replicator.AppendAtHome(ctx, s.number, records); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, op := range batch {
+		s.complete(op.appendNumber, nil)
+	}
+	return nil
+}
+
 // setAppendFailing records when appends began to fail, or that they work again.
 func (s *shard) setAppendFailing(failing bool) {
 	s.mu.Lock()
--- a/turn/interfaces.go
+++ b/turn/interfaces.go
@@ -35,6 +35,9 @@
 	// ReleaseReplicas tells other processes to drop replicas that the log has now. It
 	// does not wait for them.
 	ReleaseReplicas(shard int, records [][]byte)
+	// AppendAtHome has the home of a shard, another process, append records. It returns
+	// when the log has them, or an error when no other process is the home, or ctx ends.
+	AppendAtHome(ctx context.Context, shard int, records [][]byte) error
 	// Replicas returns the replicas of a shard's records that this and other processes
 	// hold, as far as these answer.
 	Replicas(ctx context.Context, shard int) [][]byte
--- a/turn/memory_test.go
+++ b/turn/memory_test.go
@@ -27,7 +27,10 @@
 
 func (noReplicas) Replicate(context.Context, int, [][]byte) error { return nil }
 func (noReplicas) ReleaseReplicas(int, [][]byte)                  {}
-func (noReplicas) Replicas(context.Context, int) [][]byte         { return nil }
+func (noReplicas) AppendAtHome(context.Context, int, [][]byte) error {
+	return Errorf("append at home", KindUnavailable, "no other process is the home")
+}
+func (noReplicas) Replicas(context.Context, int) [][]byte { return nil }
 
 func newMemorySet() *ShardSet {
 	return New(Config{
--- a/turn/turntest/log.go
+++ b/turn/turntest/log.go
@@ -217,6 +217,8 @@
 	replicasByShard map[int][][]byte
 	reads           int
 	releases        int
+	// home is the process that AppendAtHome appends records at, nil for none.
+	home *turn.ShardSet
 }
 
 // NewReplicator returns a replicator without replicas.
@@ -245,6 +247,24 @@
 	return r.releases
 }
 
+// AppendAtHome implements turn.Replicator. It fails unless SetHome was called.
+func (r *Replicator) AppendAtHome(ctx context.Context, shard int, records [][]byte) error {
+	r.mu.Lock()
+	home := r.home
+	r.mu.Unlock()
+	if home == nil {
+		return turn.Errorf("append at home", turn.KindUnavailable, "no other process is the home")
+	}
+	return home.AppendReplicas(ctx, shard, records)
+}
+
+// SetHome sets the process that is the home of all shards for AppendAtHome.
+func (r *Replicator) SetHome(home *turn.ShardSet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.home = home
+}
+
 // Replicas implements turn.Replicator.
 func (r *Replicator) Replicas(_ context.Context, shard int) [][]byte {
 	r.mu.Lock()
