Free a slot that is granted as its wait ends

A service process panicked, or a waiting call stayed without a slot until its deadline, if a call's context ended in the moment in which it got its slot.

Cause: Semaphore.cancelWait asked Queue.Remove whether the item still waits. Remove tells waiting from neither by the item's index, but a running item has one too, of the list of running items. So it removed whichever item was in that place of the heap, and the slot stayed taken.

Evidence: TestSemaphoreFreesSlotGrantedAsWaitEnds and TestSemaphoreKeepsOtherWaiterWhenSlotIsGrantedAsWaitEnds failed with "panic: runtime error: index out of range [0] with length 0" in heap.swap.

cancelWait now decides by whether the item's channel is closed, which changes under the same lock, and holds that lock until the item is gone.

Looked for the same cause in schedule.Cancel (keeps a field for running), home.scheduler.remove and waitForSlot (one lock, by that field), and dispatch.Queue.Acquire (an index of -1 means granted, and nothing else sets it): none has it.

--- a/queue/semaphore.go
+++ b/queue/semaphore.go
@@ -47,13 +47,17 @@
 	s.dispatchLocked()
 }
 
-// cancelWait removes a waiting item, or frees the slot that it was granted meanwhile.
+// cancelWait removes a waiting item, or frees the slot that it was granted meanwhile. Only
+// granted tells which, because an item that waits and one that runs both have an index.
 func (s *Semaphore) cancelWait(i *Item[chan struct{}]) {
 	s.mu.Lock()
-	removed := s.slots.Queue().Remove(i)
-	s.mu.Unlock()
-	if !removed {
-		s.release(i)
+	defer s.mu.Unlock()
+	select {
+	case <-i.Value():
+		s.slots.Release(i)
+		s.dispatchLocked()
+	default:
+		s.slots.Queue().Remove(i)
 	}
 }
 
--- a/queue/semaphore_test.go
+++ b/queue/semaphore_test.go
@@ -62,3 +62,66 @@
 		require.Zero(t, running+waiting)
 	})
 }
+
+// endedContext is a context that has ended; onDone runs when its channel is first asked for.
+type endedContext struct {
+	context.Context
+	onDone func()
+}
+
+func newEndedContext(onDone func()) *endedContext {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return &endedContext{Context: ctx, onDone: sync.OnceFunc(onDone)}
+}
+
+// Done runs onDone and returns a closed channel.
+func (c *endedContext) Done() <-chan struct{} {
+	c.onDone()
+	return c.Context.Done()
+}
+
+// raceAttempts is how often a test repeats a wait whose slot is granted as its context
+// ends. Either of the two is seen first by chance.
+const raceAttempts = 64
+
+func TestSemaphoreFreesSlotGrantedAsWaitEnds(t *testing.T) {
+	for range raceAttempts {
+		semaphore := newSemaphore(1)
+		release, err := semaphore.Acquire(newEndedContext(func() {}), queue.ItemConfig{})
+		if err == nil {
+			release()
+		}
+		running, waiting := semaphore.Counts()
+		require.Zero(t, running+waiting)
+	}
+}
+
+func TestSemaphoreKeepsOtherWaiterWhenSlotIsGrantedAsWaitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range raceAttempts {
+			semaphore := newSemaphore(1)
+			releaseHolder, err := semaphore.Acquire(context.Background(), queue.ItemConfig{})
+			require.NoError(t, err)
+			now := time.Now()
+			served := make(chan error, 1)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				release, err := semaphore.Acquire(ctx, queue.ItemConfig{StartedAt: now.Add(time.Second)})
+				if err == nil {
+					release()
+				}
+				served <- err
+			}()
+			synctest.Wait()
+			release, err := semaphore.Acquire(newEndedContext(releaseHolder), queue.ItemConfig{StartedAt: now})
+			if err == nil {
+				release()
+			}
+			require.NoError(t, <-served, "the other waiter must get the slot")
+			running, waiting := semaphore.Counts()
+			require.Zero(t, running+waiting)
+		}
+	})
+}
