Serve the next waiter when the first in the queue gives up

A call of a service waited though a slot was free, until another call ended or its own context did.

Cause: a call that may not start yet, such as one that must run alone, holds up those behind it. When its wait ended, Semaphore.cancelWait removed it and woke nobody.

Evidence: TestSemaphoreServesNextWaiterWhenFirstGivesUp failed with "context deadline exceeded".

cancelWait now dispatches after either outcome, as release does.

Looked for the same cause in home.scheduler.remove (dispatches) and dispatch.Queue.Acquire (its goroutine looks again at least every 25 ms, also after a waiter has left): neither has it. No caller in the repository sets Exclusive with a Semaphore today, so this is a fault of the type, not one that a caller has seen.

--- a/queue/semaphore.go
+++ b/queue/semaphore.go
@@ -49,16 +49,17 @@
 
 // cancelWait removes a waiting item, or frees the slot that it was granted meanwhile. Only
 // granted tells which, because an item that waits and one that runs both have an index.
+// Either may let another waiter start: the first in the queue holds up the others.
 func (s *Semaphore) cancelWait(i *Item[chan struct{}]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	select {
 	case <-i.Value():
 		s.slots.Release(i)
-		s.dispatchLocked()
 	default:
 		s.slots.Queue().Remove(i)
 	}
+	s.dispatchLocked()
 }
 
 // dispatchLocked wakes the waiters that may have a slot; s.mu must be held.
--- a/queue/semaphore_test.go
+++ b/queue/semaphore_test.go
@@ -125,3 +125,27 @@
 		}
 	})
 }
+
+func TestSemaphoreServesNextWaiterWhenFirstGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		semaphore := newSemaphore(2)
+		releaseHolder, err := semaphore.Acquire(context.Background(), queue.ItemConfig{})
+		require.NoError(t, err)
+		now := time.Now()
+		exclusive := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := semaphore.Acquire(ctx, queue.ItemConfig{StartedAt: now, Exclusive: true})
+			exclusive <- err
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		release, err := semaphore.Acquire(ctx, queue.ItemConfig{StartedAt: now.Add(time.Second)})
+		require.ErrorIs(t, <-exclusive, context.DeadlineExceeded)
+		require.NoError(t, err, "a slot is free once the call that must run alone has left the queue")
+		release()
+		releaseHolder()
+	})
+}
