Count results of requests only for the incarnation that they ran at

After an endpoint had started again under its ID, requests of its earlier incarnation changed the load and the health of the new one: their ends made it look emptier than it was, so it got more requests than it had room for; their failures ejected a sound endpoint, and their successes ended an ejection. A stream that the earlier one broke off was not resumed beyond the attempt limit, since the endpoint seemed usable.

Cause: Release, RecordSuccess, RecordFailure, RecordOverdue and Usable found the endpoint of a Target by its ID, which successive incarnations may share.

Evidence: TestResultsOfOldIncarnationDoNotCountForNewOne failed: release "expected: 1, actual: 0", failure and overdue "expected: e-0, actual: e-1", success "expected: e-1, actual: e-0"; TestOldIncarnationIsNotUsable failed with "Should be false".

A Target now holds the Endpoint that was picked, and counts only while that one is the endpoint of its ID.

Looked for identity without incarnation elsewhere. placement.Table and the known versions in entry are by name, and the next reply of the new process replaces them; peerTable.applyGossip compares incarnations; orders name that of their ledger. Seen and left: load reports between fronts name an endpoint by a hash of its ID, so until the reports of the others follow, which is some hundred milliseconds, requests at the old incarnation count at the new one, and a longer name would not be understood by fronts of the earlier version; the record of a turn names the endpoint that holds its conversation by ID, so a restarted engine is preferred as if it held it; call.excludedIDs keeps a retry from the new incarnation too, which costs a choice only.

--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -143,15 +143,22 @@
 	return n
 }
 
-// Usable reports whether an endpoint still takes requests; it does not consider failures
-// and load.
+// Usable reports whether the picked incarnation of an endpoint still takes requests; it does
+// not consider failures and load.
 func (d *Directory) Usable(t Target, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e, ok := d.byID[t.ID()]
+	e, ok := d.find(t)
 	return ok && d.usable(e, now)
 }
 
+// find returns the endpoint of a target, or false if it was dropped or replaced by another
+// incarnation; d.mu must be held.
+func (d *Directory) find(t Target) (*Endpoint, bool) {
+	e, ok := d.byID[t.ID()]
+	return e, ok && e == t.endpoint
+}
+
 // usable reports whether an endpoint takes requests; d.mu must be held. An endpoint can't
 // renew its registration during an outage of the store, so endpoints with a missing
 // registration count as usable while the store is unavailable. Those that went missing
--- a/endpoint/directory_test.go
+++ b/endpoint/directory_test.go
@@ -142,3 +142,92 @@
 	target, result := d.Pick(query(), later)
 	require.Equal(t, endpoint.Picked, result, target.ID())
 }
+
+// largeRegistration returns a registration of e-0 that started the given time after noon
+// and has so many slots that a single request hardly counts.
+func largeRegistration(startedAfter time.Duration) endpoint.Registration {
+	r := registration("e-0")
+	r.Slots, r.StartedUnixMS = 100, noon.Add(startedAfter).UnixMilli()
+	return r
+}
+
+// pick picks an endpoint, which must succeed.
+func pick(t *testing.T, d *endpoint.Directory, now time.Time) endpoint.Target {
+	t.Helper()
+	target, result := d.Pick(query(), now)
+	require.Equal(t, endpoint.Picked, result)
+	return target
+}
+
+// TestResultsOfOldIncarnationDoNotCountForNewOne guards against the requests of an endpoint
+// that has started again under its ID changing the load and the health of the new
+// incarnation. Without a failure, e-0 is picked rather than e-1, which is smaller and in
+// another failure domain.
+func TestResultsOfOldIncarnationDoNotCountForNewOne(t *testing.T) {
+	later := noon.Add(time.Minute)
+	tests := []struct {
+		name string
+		// report reports results of requests of the old incarnation and of the new one.
+		report     func(d *endpoint.Directory, old, current endpoint.Target)
+		wantPicked string
+		// wantRunning is the number of requests that count at the new incarnation.
+		wantRunning int
+	}{
+		{
+			name: "release", wantPicked: "e-0", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, _ endpoint.Target) { d.Release(old) },
+		},
+		{
+			name: "failure", wantPicked: "e-0", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, _ endpoint.Target) { d.RecordFailure(old, true, later) },
+		},
+		{
+			name: "success", wantPicked: "e-1", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, current endpoint.Target) {
+				d.RecordFailure(current, true, later)
+				d.RecordSuccess(old, later)
+			},
+		},
+		{
+			name: "overdue", wantPicked: "e-0", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, current endpoint.Target) {
+				d.RecordSuccess(current, later)
+				d.RecordOverdue(old, later)
+			},
+		},
+		{
+			name: "release of the new one", wantPicked: "e-0",
+			report: func(d *endpoint.Directory, _, current endpoint.Target) { d.Release(current) },
+		},
+		{
+			name: "failure of the new one", wantPicked: "e-1", wantRunning: 1,
+			report: func(d *endpoint.Directory, _, current endpoint.Target) { d.RecordFailure(current, true, later) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := endpoint.NewDirectory()
+			d.Put(largeRegistration(0), noon)
+			old := pick(t, d, noon)
+			d.Put(largeRegistration(time.Second), noon.Add(time.Second))
+			current := pick(t, d, later.Add(-10*time.Millisecond))
+			test.report(d, old, current)
+			free, _ := d.Capacity("s", later)
+			require.Equal(t, test.wantRunning, 100-free)
+			other := registration("e-1")
+			other.Domain, other.Slots = "b", 1
+			d.Put(other, later)
+			require.Equal(t, test.wantPicked, pick(t, d, later).ID())
+		})
+	}
+}
+
+func TestOldIncarnationIsNotUsable(t *testing.T) {
+	d := endpoint.NewDirectory()
+	d.Put(largeRegistration(0), noon)
+	old := pick(t, d, noon)
+	d.Put(largeRegistration(time.Second), noon.Add(time.Second))
+	later := noon.Add(2 * time.Second)
+	require.False(t, d.Usable(old, later))
+	require.True(t, d.Usable(pick(t, d, later), later))
+}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -58,8 +58,9 @@
 
 // Target is the endpoint picked for one request. Its zero value is no endpoint.
 type Target struct {
+	// endpoint is the incarnation that was picked.
+	endpoint     *Endpoint
 	registration Registration
-	key          uint64
 	// kind is the kind of the request, from Query.Kind.
 	kind     string
 	pickedAt time.Time
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -57,11 +57,12 @@
 	}
 }
 
-// Release notes that a request counted by Pick is no longer at its endpoint.
+// Release notes that a request counted by Pick is no longer at its endpoint. Like the methods
+// below it does nothing if another incarnation has replaced that endpoint.
 func (d *Directory) Release(t Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.byID[t.ID()]; ok && e.localRunning > 0 {
+	if e, ok := d.find(t); ok && e.localRunning > 0 {
 		e.localRunning--
 		d.notifyChanged()
 	}
@@ -71,7 +72,7 @@
 func (d *Directory) RecordSuccess(t Target, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.byID[t.ID()]; ok {
+	if e, ok := d.find(t); ok {
 		e.health.recordSuccess()
 		d.recordDuration(e, t, now)
 	}
@@ -82,7 +83,7 @@
 func (d *Directory) RecordFailure(t Target, down bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.byID[t.ID()]; ok {
+	if e, ok := d.find(t); ok {
 		e.health.recordFailure(now, down)
 	}
 }
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -53,7 +53,7 @@
 		return Target{}, result
 	}
 	best.localRunning++
-	return Target{registration: best.registration, key: best.key, kind: q.Kind, pickedAt: now}, Picked
+	return Target{endpoint: best, registration: best.registration, kind: q.Kind, pickedAt: now}, Picked
 }
 
 // canEject reports whether few enough endpoints are ejected to do without them; d.mu must be held.
--- a/endpoint/slowdown.go
+++ b/endpoint/slowdown.go
@@ -90,7 +90,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	typical, known := d.typicalTimes[t.kind]
-	if e, ok := d.byID[t.ID()]; ok && known {
+	if e, ok := d.find(t); ok && known {
 		e.slowdown.observe(float64(now.Sub(t.pickedAt))/float64(max(typical, time.Millisecond)), now)
 	}
 }
