Keep endpoints that were removed before an outage of the store unusable

During an outage of the store, and for two seconds after it, requests went to endpoints that had left up to a minute before it: refused connections, answers 421 where another service had the address by then, and requests at endpoints that were acknowledged as gone.

Cause: usable took each missing registration for one that the outage kept from being renewed, whenever it had gone missing.

Evidence: in TestUsabilityOfLeavingEndpoints, "entry gone before a store outage", "entry gone before a store outage that has ended" and "entry still missing after the outage, when another one begins" failed with "expected: false, actual: true".

The directory now keeps when the store last answered outside of an outage and of the grace after it; what was missing by then is gone. An answer within the grace doesn't move that time, so an outage that begins anew within it still keeps the endpoints that had no time to register again (a further case of the table, which passed before too).

Looked for the same cause in mesh.peerTable: storeLost and storeReachableSince are read with the time of the change; no other state is suspended by an outage without it.

--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -31,6 +31,9 @@
 	storeReturnedAt time.Time
 	// storeUnavailable is set during an outage of the store.
 	storeUnavailable bool
+	// removalsFinalUntil is when the store last answered outside of an outage and of
+	// storeReturnGrace after it. An endpoint whose registration was missing by then is gone.
+	removalsFinalUntil time.Time
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 	// lastExpiryAt is when dropExpired last searched for expired endpoints.
@@ -113,7 +116,7 @@
 }
 
 // StoreUnavailable notes that the store can't be read. Until the store answers again, an
-// endpoint whose registration is missing stays usable.
+// endpoint stays usable if its registration went missing after the store's last answer.
 func (d *Directory) StoreUnavailable() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -127,6 +130,9 @@
 	if d.storeUnavailable {
 		d.storeUnavailable, d.storeReturnedAt = false, now
 	}
+	if !d.inReturnGrace(now) {
+		d.removalsFinalUntil = now
+	}
 	d.dropExpired(now)
 }
 
@@ -160,8 +166,8 @@
 }
 
 // usable reports whether an endpoint takes requests; d.mu must be held. An endpoint can't
-// renew its registration during an outage of the store, so endpoints with a missing
-// registration count as usable while the store is unavailable. Those that went missing
+// renew its registration during an outage of the store, so endpoints whose registration went
+// missing since count as usable while the store is unavailable. Those that went missing
 // around the end of the outage count as usable until storeReturnGrace after it.
 func (d *Directory) usable(e *Endpoint, now time.Time) bool {
 	if e.state != Ready {
@@ -170,10 +176,19 @@
 	if e.missingSince.IsZero() {
 		return true
 	}
+	if !e.missingSince.After(d.removalsFinalUntil) {
+		return false
+	}
 	if d.storeUnavailable {
 		return true
 	}
-	return !d.storeReturnedAt.IsZero() && now.Sub(d.storeReturnedAt) < storeReturnGrace && !e.missingSince.Before(d.storeReturnedAt.Add(-storeReturnGrace))
+	return d.inReturnGrace(now) && !e.missingSince.Before(d.storeReturnedAt.Add(-storeReturnGrace))
+}
+
+// inReturnGrace reports whether an outage of the store ended less than storeReturnGrace ago;
+// d.mu must be held.
+func (d *Directory) inReturnGrace(now time.Time) bool {
+	return !d.storeReturnedAt.IsZero() && now.Sub(d.storeReturnedAt) < storeReturnGrace
 }
 
 // dropExpired deletes endpoints that have been missing for longer than missingRetention, at
--- a/endpoint/directory_test.go
+++ b/endpoint/directory_test.go
@@ -65,6 +65,32 @@
 			d.Put(e, now)
 		}},
 		{name: "entry gone", change: func(d *endpoint.Directory, now time.Time) { d.Remove("e-0", now) }},
+		{name: "entry gone before a store outage", change: func(d *endpoint.Directory, now time.Time) {
+			d.Remove("e-0", now.Add(-time.Second))
+			d.StoreAvailable(now.Add(-time.Second))
+			d.StoreUnavailable()
+		}},
+		{name: "entry gone before a store outage that has ended", after: time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.Remove("e-0", now.Add(-time.Second))
+			d.StoreAvailable(now.Add(-time.Second))
+			d.StoreUnavailable()
+			d.StoreAvailable(now)
+		}},
+		{name: "entry missing just after the outage, which begins anew", usable: true, after: time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.StoreAvailable(now.Add(-time.Minute))
+			d.StoreUnavailable()
+			d.Remove("e-0", now)
+			d.StoreAvailable(now)
+			d.StoreAvailable(now.Add(400 * time.Millisecond))
+			d.StoreUnavailable()
+		}},
+		{name: "entry still missing after the outage, when another one begins", after: 3 * time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.StoreUnavailable()
+			d.Remove("e-0", now)
+			d.StoreAvailable(now)
+			d.StoreAvailable(now.Add(2500 * time.Millisecond))
+			d.StoreUnavailable()
+		}},
 		{name: "entry gone during a store outage", usable: true, change: func(d *endpoint.Directory, now time.Time) {
 			d.StoreUnavailable()
 			d.Remove("e-0", now)
