Expire the load reports of an instance that went silent by time

Endpoints seemed busy with the requests of a front that was gone, as long as no other front sent a report: with two fronts, until the other one was back. Requests waited for them until their deadline.

Cause: reports expired only in sumPeerLoads, which ran when another report came or an endpoint was registered. dispatch.Queue asks again every 25 ms because reports age, but Pick only read the sums.

Evidence: TestLoadReportOfSilentInstanceExpires/pick and /capacity failed with "Should be true": no room ten seconds after the only report.

Pick and Capacity now sum anew once the oldest report has expired. That time is kept with the sums, so that a decision without an expired report costs one comparison.

Looked for the same cause, a limit of age that only an arrival enforces: placement.Table checks the age at each choice, membership derives states from the time of the question, mesh.replicaStore expires at an arrival, which there only bounds memory. Seen and left: entry keeps rows of placement.Table and versions of instances that are no longer listed; they are not read, but stay in memory.

--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -25,6 +25,8 @@
 	byService map[string][]*Endpoint
 	// peerReports is the latest load report of each other instance, by its name.
 	peerReports map[string]loadReport
+	// oldestReportAt is when the oldest of peerReports was received, or zero without any.
+	oldestReportAt time.Time
 	// typicalTimes is the moving average of the request time, by kind of request.
 	typicalTimes map[string]time.Duration
 	// storeReturnedAt is when the latest outage of the store ended, or zero.
--- a/endpoint/directory_test.go
+++ b/endpoint/directory_test.go
@@ -52,6 +52,33 @@
 	require.Equal(t, 4, slots)
 }
 
+// TestLoadReportOfSilentInstanceExpires guards against the load of an instance that is gone
+// keeping endpoints busy when no other instance sends a report.
+func TestLoadReportOfSilentInstanceExpires(t *testing.T) {
+	tests := []struct {
+		name string
+		// hasRoom reports whether the endpoint seems to have room.
+		hasRoom func(d *endpoint.Directory, now time.Time) bool
+	}{
+		{name: "pick", hasRoom: func(d *endpoint.Directory, now time.Time) bool {
+			_, result := d.Pick(query(), now)
+			return result == endpoint.Picked
+		}},
+		{name: "capacity", hasRoom: func(d *endpoint.Directory, now time.Time) bool {
+			free, _ := d.Capacity("s", now)
+			return free > 0
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDirectory(1)
+			d.UpdatePeerLoads("front-2", []endpoint.Load{{Endpoint: endpoint.Key("e-0"), Running: 2}}, noon)
+			require.False(t, test.hasRoom(d, noon.Add(time.Second)), "a report of a second ago counts")
+			require.True(t, test.hasRoom(d, noon.Add(10*time.Second)))
+		})
+	}
+}
+
 func TestUsabilityOfLeavingEndpoints(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -40,14 +40,25 @@
 	d.notifyChanged()
 }
 
+// expirePeerLoads removes load reports that have expired from the sums; d.mu must be held.
+func (d *Directory) expirePeerLoads(now time.Time) {
+	if !d.oldestReportAt.IsZero() && now.Sub(d.oldestReportAt) > loadReportTTL {
+		d.sumPeerLoads(now)
+	}
+}
+
 // sumPeerLoads deletes expired load reports and adds up the others; d.mu must be held.
 func (d *Directory) sumPeerLoads(now time.Time) {
 	runningByKey := map[uint64]int{}
+	d.oldestReportAt = time.Time{}
 	for peer, r := range d.peerReports {
 		if now.Sub(r.receivedAt) > loadReportTTL {
 			delete(d.peerReports, peer)
 			continue
 		}
+		if d.oldestReportAt.IsZero() || r.receivedAt.Before(d.oldestReportAt) {
+			d.oldestReportAt = r.receivedAt
+		}
 		for key, n := range r.loads {
 			runningByKey[key] += n
 		}
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -44,6 +44,7 @@
 func (d *Directory) Pick(q Query, now time.Time) (Target, PickResult) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.expirePeerLoads(now)
 	endpoints := d.byService[q.Service]
 	best, result := d.pick(endpoints, q, now, d.canEject(endpoints, q, now))
 	if best == nil && result == NoneUsable {
@@ -101,6 +102,7 @@
 func (d *Directory) Capacity(service string, now time.Time) (free, slots int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.expirePeerLoads(now)
 	for _, e := range d.byService[service] {
 		if !d.usable(e, now) {
 			continue
