Spend credit for a hedge and count it only when an endpoint has room

While all other endpoints were full, each late request used up credit for a hedge that was never sent. When a slot was free again, late requests weren't hedged until ten times as many requests had come, and waited for their deadline. lavendervale_hedges_total counted hedges that no endpoint saw.

Cause: pickHedge withdrew the credit and counted before it asked the directory.

Evidence: TestHedgeIsCountedOnlyWithEndpoint failed with "Should be zero, but was 2" for the metric; with that line left out of a trial, with "expected: 200, actual: 504" for the late request afterwards.

The credit is refunded, and nothing counted, if no endpoint is picked. It is still withdrawn before the pick: without credit, a request must not hold a slot even for a moment.

Looked for other counts before the fact at every Inc and Add of a metric or budget. Seen and left: orders_sent of a service process counts an order before it has a slot, so also one that gave up waiting (daemon.serviceRunner.Run).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,6 +26,21 @@
 	*gateway.Gateway
 	transport *transport
 	directory *endpoint.Directory
+	registry  *prometheus.Registry
+}
+
+// counter returns the value of a counter without labels.
+func (f *fixture) counter(t *testing.T, name string) float64 {
+	t.Helper()
+	families, err := f.registry.Gather()
+	require.NoError(t, err)
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	t.Fatalf("no metric %s", name)
+	return 0
 }
 
 // newFixture returns a gateway with two routes to one service: /pay/ for requests that run at
@@ -43,13 +58,13 @@
 	routes := &route.Store{}
 	_, err = routes.Update(table)
 	require.NoError(t, err)
-	f := &fixture{transport: &transport{}, directory: endpoint.NewDirectory()}
+	f := &fixture{transport: &transport{}, directory: endpoint.NewDirectory(), registry: prometheus.NewRegistry()}
 	for _, id := range []string{"shop-1", "shop-2"} {
 		f.directory.Put(endpoint.Registration{ID: id, Service: "shop", Address: "127.0.0.1:1", Slots: 4}, time.Now())
 	}
 	f.Gateway = gateway.New(gateway.Config{
 		Routes: routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.transport, TurnTracker: noTurns{}, CrashTracker: noCrashes{},
-		Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(),
+		Metrics: gateway.NewMetrics(f.registry), Logger: zap.NewNop(),
 	})
 	return f
 }
@@ -229,6 +244,42 @@
 	})
 }
 
+// TestHedgeIsCountedOnlyWithEndpoint guards against late requests using up the hedge budget
+// while no other endpoint has a free slot, so that a later one is not hedged.
+func TestHedgeIsCountedOnlyWithEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		for range 20 {
+			require.Equal(t, 200, f.send("/look/1", time.Second).status)
+		}
+		var occupying []endpoint.Target
+		for {
+			target, result := f.directory.Pick(endpoint.Query{Service: "shop", MaxQueued: 3, ExcludedIDs: map[string]bool{"shop-1": true}}, time.Now())
+			if result != endpoint.Picked {
+				break
+			}
+			occupying = append(occupying, target)
+		}
+		f.transport.losesResponse = func(string) bool { return true }
+		for range 5 {
+			require.Equal(t, 504, f.send("/look/1", time.Second).status)
+		}
+		require.Zero(t, f.counter(t, "lavendervale_hedges_total"), "no request was sent to a second endpoint")
+		for _, target := range occupying {
+			f.directory.Release(target)
+		}
+		time.Sleep(time.Minute)
+		first := true
+		f.transport.losesResponse = func(string) bool {
+			was := first
+			first = false
+			return was
+		}
+		require.Equal(t, 200, f.send("/look/1", time.Second).status)
+		require.Equal(t, 1.0, f.counter(t, "lavendervale_hedges_total"))
+	})
+}
+
 // TestOneResetEjectsEndpoint checks that a single reset connection ejects an endpoint. In
 // the benchmark run omuti-grown scale-2, two endpoints alternately went down, and each of 31
 // fronts lost three orders to each of them before it used other endpoints.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -47,6 +47,13 @@
 	return true
 }
 
+// refund returns the credit of a hedge that was not sent.
+func (b *hedgeBudget) refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credit = min(hedgeBurst, b.credit+1)
+}
+
 // attemptResult is the result of one attempt of a request at an endpoint.
 type attemptResult struct {
 	target   endpoint.Target
@@ -124,8 +131,12 @@
 		return endpoint.Target{}, false
 	}
 	t, result := c.Directory.Pick(q, time.Now())
+	if result != endpoint.Picked {
+		c.hedges.refund()
+		return endpoint.Target{}, false
+	}
 	c.Metrics.hedges.Inc()
-	return t, result == endpoint.Picked
+	return t, true
 }
 
 // hedgeDelay returns how long to wait for the response before the request is hedged.
