Name the version of a configuration in the log line, not its offset

After a restart of the log, the line "configuration in force" of an entry named a version that was not in force, often an earlier one, and operators who publish from the number in the log got a conflict.

Cause: applyPublication logged the offset of the log entry. The version is the offset only until the log has restarted with lower offsets; then the state machine counts on from the version before.

Evidence: TestLogNamesVersionInForce failed with "expected: []int64{0, 1, 2}, actual: []int64{0, 1, 0}".

The line takes the version from the decision on the record and names the offset beside it; the line of a refused publication, which has no version, names its offset only.

Looked for offsets taken for versions elsewhere: the error of a conflict names both by their names, publications return the decision's version.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/adapter/record"
@@ -27,10 +28,12 @@
 
 // cluster is a simulated platform with endpoints. It implements entry.HomeClient for them.
 type cluster struct {
-	t          *testing.T
-	log        *standin.Log
-	instances  *standin.InstanceList
-	endpoints  map[string]*endpoint
+	t         *testing.T
+	log       *standin.Log
+	instances *standin.InstanceList
+	endpoints map[string]*endpoint
+	// logger receives the log lines of entries, nil to discard them.
+	logger     *zap.Logger
 	cancel     context.CancelFunc
 	ctx        context.Context
 	goroutines sync.WaitGroup
@@ -108,7 +111,7 @@
 	store := configuration.NewStore(inifile.ParseConfiguration)
 	e := entry.New(entry.Config{
 		Name: name, HomeClient: c, Sealer: &plainSealer{handles: map[string]program.Handle{}}, Log: c.log, InstanceLister: c.instances,
-		PublicationCodec: record.PublicationCodec{}, Configurations: store, Members: membership.NewTable(), StreamCount: 1,
+		PublicationCodec: record.PublicationCodec{}, Configurations: store, Members: membership.NewTable(), StreamCount: 1, Logger: c.logger,
 	})
 	c.goroutines.Go(func() { e.Run(c.ctx) })
 	return e, store
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lavendervale/lavendervale/client"
 	"github.com/lavendervale/lavendervale/configuration"
@@ -109,6 +111,27 @@
 	}
 }
 
+// TestLogNamesVersionInForce guards against log lines that name an offset of the log as the
+// version of a configuration: after a restart of the log the two differ.
+func TestLogNamesVersionInForce(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		core, lines := observer.New(zap.InfoLevel)
+		c.logger = zap.New(core)
+		e, _ := c.startEntry("entry-1")
+		base := c.mustPublish(e, configuration.NoVersion, quoteClass)
+		base = c.mustPublish(e, base, quoteClass+"# second\n")
+		c.log.Reset()
+		c.waitForPropagation()
+		version := c.mustPublish(e, base, quoteClass+"# third\n")
+		var logged []int64
+		for _, line := range lines.FilterMessage("configuration in force").All() {
+			logged = append(logged, line.ContextMap()["version"].(int64))
+		}
+		require.Equal(t, []int64{0, 1, 2}, logged)
+		require.Equal(t, int64(2), version)
+	})
+}
+
 // startProgram starts a program with a new key.
 func startProgram(t *testing.T, c *cluster, e *entry.Entry) (entry.Started, error) {
 	t.Helper()
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -90,8 +90,12 @@
 		Offset: entry.Offset(), Base: publication.Base, Author: publication.Author, Text: publication.Text, Time: entry.AppendedAt(),
 	})
 	if err := e.config.Configurations.Apply(record); err != nil {
-		e.config.Logger.Warn("publication refused", zap.Int64("version", entry.Offset()), zap.Error(err))
+		e.config.Logger.Warn("publication refused", zap.Int64("offset", entry.Offset()), zap.Error(err))
 		return
 	}
-	e.config.Logger.Info("configuration in force", zap.Int64("version", entry.Offset()), zap.String("author", publication.Author))
+	version := e.config.Configurations.Version()
+	if decision, ok := e.config.Configurations.DecisionAt(entry.Offset()); ok {
+		version = decision.Record.Version()
+	}
+	e.config.Logger.Info("configuration in force", zap.Int64("version", version), zap.Int64("offset", entry.Offset()), zap.String("author", publication.Author))
 }
