Give each home its own time to answer before it is replaced

When a program's home had not answered for a while and then its entry turned to another one, because the program had moved, the home was leaving or it was dead, a single failed attempt at the new home had it replaced at once. The program was taken over once more than needed or, if no other endpoint served its model, the call failed.

Cause: unreachableSince was reset only when it had itself led to a new target, so the time without an answer of the earlier home counted for the next one.

Evidence: TestNewHomeHasItsOwnTimeToAnswer failed with "expected: model-2, actual: model-1": the call went back to the home that had said that the program had moved.

The target now changes in one place, setTarget, which also resets that time.

Looked for the same cause, a time that outlives what it was measured on: failingSince of a shard of the turn log is kept with its shard, storeReachableSince with its peer (there, over incarnations of the peer too, until its next gossip), and client and gateway keep no such time.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -67,6 +67,8 @@
 	failAtWord int
 	// moved makes calls fail with program.KindMoved without a home.
 	moved bool
+	// callErrs are the errors of the next calls.
+	callErrs []error
 }
 
 func (c *cluster) addEndpoint(name string) *endpoint {
@@ -160,7 +162,14 @@
 	e.mu.Lock()
 	e.calls++
 	failAtWord, moved := e.failAtWord, e.moved
+	var callErr error
+	if len(e.callErrs) > 0 {
+		callErr, e.callErrs = e.callErrs[0], e.callErrs[1:]
+	}
 	e.mu.Unlock()
+	if callErr != nil {
+		return home.CallResult{}, callErr
+	}
 	if moved {
 		return home.CallResult{}, program.NewError(program.ErrorConfig{Op: "call", Kind: program.KindMoved, Outcome: program.InDoubt, Err: errDown})
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -231,6 +231,31 @@
 	})
 }
 
+// TestNewHomeHasItsOwnTimeToAnswer guards against the time in which an earlier home did not
+// answer counting for the one after it, which would be replaced at its first failure.
+func TestNewHomeHasItsOwnTimeToAnswer(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		e := startEntryWithEndpoints(t, c, "model-1", "model-2")
+		started, err := startProgram(t, c, e)
+		require.NoError(t, err)
+		first := started.HomeResult().Handle().Home()
+		second := map[string]string{"model-1": "model-2", "model-2": "model-1"}[first]
+		unavailable := program.Errorf("reach", program.KindUnavailable, "no answer")
+		moved := program.NewError(program.ErrorConfig{Op: "call", Kind: program.KindMoved, Home: second, Err: errDown})
+		// The waits before the retries, 25 ms and doubled up to 400 ms, put the last of these
+		// answers just before the time after which a home is replaced.
+		c.endpoints[first].update(func(e *endpoint) {
+			e.callErrs = []error{unavailable, unavailable, unavailable, unavailable, unavailable, unavailable, moved}
+		})
+		c.endpoints[second].update(func(e *endpoint) { e.callErrs = []error{unavailable} })
+		result, err := e.Call(c.ctx, "omuti", started.Token(), newCall(t), func([]byte) error { return nil })
+		require.NoError(t, err)
+		require.Equal(t, second, result.HomeResult().Answer().Endpoint())
+		require.Equal(t, 7, c.endpoints[first].calls, "calls at the first home")
+		require.Equal(t, 2, c.endpoints[second].calls, "calls at the second home")
+	})
+}
+
 // TestProgramsStayWhenInstanceListIsEmptyOrDown guards against programs being moved from
 // working homes because the platform's instance list is empty or can't be read.
 func TestProgramsStayWhenInstanceListIsEmptyOrDown(t *testing.T) {
--- a/entry/home_search.go
+++ b/entry/home_search.go
@@ -31,8 +31,8 @@
 	target string
 	// retryWait is the wait before the next retry.
 	retryWait time.Duration
-	// unreachableSince is when an attempt first failed with program.KindUnavailable; zero
-	// before that, and again once the target was replaced for it.
+	// unreachableSince is when an attempt at target first failed with
+	// program.KindUnavailable; zero before that.
 	unreachableSince time.Time
 }
 
@@ -93,10 +93,15 @@
 		return noEndpointError("find home")
 	}
 	s.entry.metrics.moves.Add(1)
-	s.target = chosen
+	s.setTarget(chosen)
 	return nil
 }
 
+// setTarget sets the instance that the next attempt goes to, which has not failed yet.
+func (s *homeSearch) setTarget(instance string) {
+	s.target, s.unreachableSince = instance, time.Time{}
+}
+
 // prepareRetry reports whether the request may be sent again after err, and selects the
 // target for that. An unavailable home that advises a retry delay leaves the retry to the
 // caller.
@@ -108,7 +113,7 @@
 			return s.replaceTarget() == nil
 		}
 		s.handle = s.handle.WithHome(e.Home())
-		s.target = e.Home()
+		s.setTarget(e.Home())
 	case program.KindLeaving:
 		return s.replaceTarget() == nil
 	case program.KindUnavailable:
@@ -129,7 +134,6 @@
 	if now.Sub(s.unreachableSince) < unreachableTimeout {
 		return nil
 	}
-	s.unreachableSince = time.Time{}
 	return s.replaceTarget()
 }
 
