Keep a request in doubt when a later attempt did not run

Cause: placeProgram and callHome returned the error of their last attempt, whose outcome is of that attempt only.

Evidence: TestStartInDoubtStaysInDoubt ("lost, then refused") and TestCallInDoubtStaysInDoubt ("lost, then not reached") failed with "expected: 0x0, actual: 0x2", in doubt and not run.

Both now remember that an attempt was in doubt, and return a last error that says NotRun as InDoubt. A home that answers with a decision of its own, such as a spent budget, owns the program and knows its earlier attempts: that outcome stays, as the third case of the test of calls checks.

Looked for the same cause at every use of Outcome: home.model.go asks it of one attempt, peer.ServiceClient sends one; client.retry has it and is mended by itself.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -33,7 +33,9 @@
 	instances *standin.InstanceList
 	endpoints map[string]*endpoint
 	// logger receives the log lines of entries, nil to discard them.
-	logger     *zap.Logger
+	logger *zap.Logger
+	// startErrs are the answers to the next starts, at whichever endpoint.
+	startErrs  []error
 	cancel     context.CancelFunc
 	ctx        context.Context
 	goroutines sync.WaitGroup
@@ -147,6 +149,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
+	if len(c.startErrs) > 0 {
+		startErr := c.startErrs[0]
+		c.startErrs = c.startErrs[1:]
+		return home.StartResult{}, startErr
+	}
 	if e.startErr != nil {
 		return home.StartResult{}, e.startErr
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -231,6 +231,62 @@
 	})
 }
 
+// TestStartInDoubtStaysInDoubt guards against a program that may have started at one endpoint
+// being reported as not run because another endpoint refused it.
+func TestStartInDoubtStaysInDoubt(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		e := startEntryWithEndpoints(t, c, "model-1", "model-2")
+		full := program.Errorf("admit", program.KindOverloaded, "full")
+		lost := program.NewError(program.ErrorConfig{Op: "start", Kind: program.KindUnavailable, Outcome: program.InDoubt, Err: errDown})
+		tests := []struct {
+			name string
+			errs []error
+			want program.Outcome
+		}{
+			{name: "refused twice", errs: []error{full, full}, want: program.NotRun},
+			{name: "lost, then refused", errs: []error{lost, full}, want: program.InDoubt},
+			{name: "refused, then lost", errs: []error{full, lost}, want: program.InDoubt},
+		}
+		for _, test := range tests {
+			c.startErrs = test.errs
+			_, err := startProgram(t, c, e)
+			require.Equal(t, test.want, program.AsError(err).Outcome(), test.name)
+		}
+	})
+}
+
+// TestCallInDoubtStaysInDoubt guards against a call that a home may have run being reported
+// as not run because the later attempts did not reach a home.
+func TestCallInDoubtStaysInDoubt(t *testing.T) {
+	lost := program.NewError(program.ErrorConfig{Op: "call", Kind: program.KindUnavailable, Outcome: program.InDoubt, Err: errDown})
+	tests := []struct {
+		name string
+		errs []error
+		want program.Outcome
+	}{
+		{name: "never reached", want: program.NotRun},
+		{name: "lost, then not reached", errs: []error{lost}, want: program.InDoubt},
+		{name: "lost, then refused by the home", errs: []error{lost, program.Errorf("call", program.KindOverBudget, "spent")}, want: program.NotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				e := startEntryWithEndpoints(t, c, "model-1")
+				started, err := startProgram(t, c, e)
+				require.NoError(t, err)
+				unreachable := program.Errorf("reach", program.KindUnavailable, "connection refused")
+				errs := test.errs
+				for len(errs) < 30 {
+					errs = append(errs, unreachable)
+				}
+				c.endpoints["model-1"].update(func(e *endpoint) { e.callErrs = errs })
+				_, err = e.Call(c.ctx, "omuti", started.Token(), newCall(t), func([]byte) error { return nil })
+				require.Equal(t, test.want, program.AsError(err).Outcome())
+			})
+		})
+	}
+}
+
 // TestNewHomeHasItsOwnTimeToAnswer guards against the time in which an earlier home did not
 // answer counting for the one after it, which would be replaced at its first failure.
 func TestNewHomeHasItsOwnTimeToAnswer(t *testing.T) {
--- a/entry/home_search.go
+++ b/entry/home_search.go
@@ -56,21 +56,51 @@
 	search := &homeSearch{entry: e, handle: h, target: h.Home(), retryWait: minRetryWait}
 	e.retries.recordRequest(h.Class())
 	var err error
+	inDoubt := false
 	for range maxHomeAttempts {
 		if err = search.replaceDeadTarget(); err != nil {
-			return err
+			break
 		}
 		err = send(ctx, search.target, search.handle)
 		if err == nil || !search.prepareRetry(err) || !search.allowRetry(err) {
-			return err
+			break
 		}
+		inDoubt = inDoubt || program.AsError(err).Outcome() == program.InDoubt
 		if !search.waitForRetry(ctx) {
-			return err
+			break
 		}
 	}
+	if inDoubt && !ownerDecided(err) {
+		return withDoubt(err)
+	}
 	return err
 }
 
+// ownerDecided reports whether the result of an attempt is the decision of the home that
+// owns the program, which also holds for earlier attempts at the same call.
+func ownerDecided(err error) bool {
+	if err == nil {
+		return true
+	}
+	switch program.KindOf(err) {
+	case program.KindUnavailable, program.KindLeaving, program.KindMoved:
+		return false
+	}
+	return true
+}
+
+// withDoubt returns err with the outcome InDoubt if it is NotRun, which is true of the
+// latest attempt but not of an earlier one.
+func withDoubt(err error) error {
+	e := program.AsError(err)
+	if e.Outcome() != program.NotRun {
+		return err
+	}
+	return program.NewError(program.ErrorConfig{
+		Op: e.Op(), Kind: e.Kind(), Outcome: program.InDoubt, RetryAfter: e.RetryAfter(), Home: e.Home(), Err: e.Unwrap(),
+	})
+}
+
 // replaceDeadTarget selects another target when the current one is dead or not known.
 func (s *homeSearch) replaceDeadTarget() error {
 	m, ok := s.entry.members.Member(s.target, time.Now())
--- a/entry/start.go
+++ b/entry/start.go
@@ -101,10 +101,12 @@
 }
 
 // placeProgram starts a program on an endpoint chosen by load, and on another one when
-// that refuses, up to maxStartAttempts.
+// that refuses, up to maxStartAttempts. The outcome of an error is NotRun only if it is so
+// at each of them.
 func (e *Entry) placeProgram(ctx context.Context, req home.StartRequest, c *class.Class) (home.StartResult, error) {
 	candidates := e.candidates(c.Model())
 	var lastErr error
+	inDoubt := false
 	for range maxStartAttempts {
 		chosen, ok := e.chooseEndpoint(candidates, placement.Request{Rank: c.Rank(), ExpectedService: expectedServiceTime})
 		if !ok {
@@ -116,15 +118,19 @@
 		}
 		e.config.Logger.Info("starting a program on an endpoint failed", zap.String("endpoint", chosen), zap.Error(err))
 		lastErr = err
+		inDoubt = inDoubt || program.AsError(err).Outcome() == program.InDoubt
 		if !mayStartElsewhere(err) {
-			return home.StartResult{}, err
+			break
 		}
 		candidates = without(candidates, chosen)
 	}
-	if lastErr != nil {
-		return home.StartResult{}, lastErr
+	if lastErr == nil {
+		return home.StartResult{}, noEndpointError("place program")
+	}
+	if inDoubt {
+		return home.StartResult{}, withDoubt(lastErr)
 	}
-	return home.StartResult{}, noEndpointError("place program")
+	return home.StartResult{}, lastErr
 }
 
 func noEndpointError(op string) error {
