--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -35,16 +35,23 @@
 	// logger receives the log lines of entries, nil to discard them.
 	logger *zap.Logger
 	// startErrs are the answers to the next starts, at whichever endpoint.
-	startErrs  []error
-	cancel     context.CancelFunc
-	ctx        context.Context
-	goroutines sync.WaitGroup
+	startErrs []error
+	// onStart runs at each start, onTransfer after each transfer of budget and onEnd after
+	// each end of a program; nil for nothing.
+	onStart    func()
+	onTransfer func()
+	onEnd      func()
+	// reservations holds the tokens that parents have reserved, by child.
+	reservations map[program.ID]int64
+	cancel       context.CancelFunc
+	ctx          context.Context
+	goroutines   sync.WaitGroup
 }
 
 // runInCluster runs a test with an empty cluster in virtual time.
 func runInCluster(t *testing.T, test func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, log: standin.NewLog(), instances: standin.NewInstanceList(0), endpoints: map[string]*endpoint{}}
+		c := &cluster{t: t, log: standin.NewLog(), instances: standin.NewInstanceList(0), endpoints: map[string]*endpoint{}, reservations: map[program.ID]int64{}}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		defer c.goroutines.Wait()
 		defer c.cancel()
@@ -149,6 +156,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
+	if c.onStart != nil {
+		c.onStart()
+	}
 	if len(c.startErrs) > 0 {
 		startErr := c.startErrs[0]
 		c.startErrs = c.startErrs[1:]
@@ -157,7 +167,7 @@
 	if e.startErr != nil {
 		return home.StartResult{}, e.startErr
 	}
-	h := program.NewHandle(program.HandleConfig{Program: program.NewID(r.Caller, r.Key), Caller: r.Caller, Class: r.Class, Home: instance})
+	h := program.NewHandle(program.HandleConfig{Program: program.NewID(r.Caller, r.Key), Caller: r.Caller, Class: r.Class, Home: instance, Parent: r.Parent, ParentHome: r.ParentHome})
 	return home.NewStartResult(h, 1000, 1), nil
 }
 
@@ -197,6 +207,9 @@
 
 func (c *cluster) End(_ context.Context, instance string, h program.Handle, _ bool) (home.EndResult, error) {
 	_, err := c.reachableEndpoint(instance)
+	if c.onEnd != nil {
+		c.onEnd()
+	}
 	return home.NewEndResult(home.EndResultConfig{Handle: h, State: program.Finished, TargetMet: true}), err
 }
 
@@ -205,9 +218,27 @@
 	return home.NewView(home.ViewConfig{Handle: h}), err
 }
 
-func (c *cluster) Transfer(_ context.Context, instance string, t home.BudgetTransfer) (int64, error) {
-	_, err := c.reachableEndpoint(instance)
-	return t.Tokens, err
+// Transfer keeps the reservation of a child. Like a connection, it does nothing for a context
+// that has ended, and doesn't know the outcome when the context ends on the way.
+func (c *cluster) Transfer(ctx context.Context, instance string, t home.BudgetTransfer) (int64, error) {
+	if ctx.Err() != nil {
+		return 0, program.Errorf("transfer", program.KindUnavailable, "%w", ctx.Err())
+	}
+	if _, err := c.reachableEndpoint(instance); err != nil {
+		return 0, err
+	}
+	if t.Settle {
+		delete(c.reservations, t.Child)
+	} else {
+		c.reservations[t.Child] = t.Tokens
+	}
+	if c.onTransfer != nil {
+		c.onTransfer()
+	}
+	if ctx.Err() != nil {
+		return 0, program.NewError(program.ErrorConfig{Op: "transfer", Kind: program.KindUnavailable, Outcome: program.InDoubt, Err: ctx.Err()})
+	}
+	return t.Tokens, nil
 }
 
 func (c *cluster) Beat(_ context.Context, instance string, b membership.Heartbeat) (membership.HeartbeatReply, error) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -231,6 +232,51 @@
 	})
 }
 
+// TestBudgetOfChildReturnsWhenCallerHasLeft guards against tokens of a parent that stay
+// reserved for a child that did not start or has ended, because its caller left meanwhile.
+func TestBudgetOfChildReturnsWhenCallerHasLeft(t *testing.T) {
+	full := program.Errorf("admit", program.KindOverloaded, "full")
+	lost := program.NewError(program.ErrorConfig{Op: "start", Kind: program.KindUnavailable, Outcome: program.InDoubt, Err: errDown})
+	tests := []struct {
+		name  string
+		leave func(c *cluster, leave func())
+		// startErrs are the answers to the starts of the child.
+		startErrs []error
+		end       bool
+		reserved  bool
+	}{
+		{name: "start refused", leave: func(c *cluster, leave func()) { c.onStart = leave }, startErrs: []error{full, full}},
+		{name: "reservation made", leave: func(c *cluster, leave func()) { c.onTransfer = leave }},
+		{name: "start in doubt", leave: func(c *cluster, leave func()) { c.onStart = leave }, startErrs: []error{lost, full}, reserved: true},
+		{name: "child started", leave: func(c *cluster, leave func()) { c.onStart = leave }, reserved: true},
+		{name: "child ended", leave: func(c *cluster, leave func()) { c.onEnd = leave }, end: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				e := startEntryWithEndpoints(t, c, "model-1", "model-2")
+				parent, err := startProgram(t, c, e)
+				require.NoError(t, err)
+				ctx, leave := context.WithCancel(c.ctx)
+				defer leave()
+				test.leave(c, leave)
+				c.startErrs = test.startErrs
+				key, err := client.NewKey()
+				require.NoError(t, err)
+				child, err := e.Start(ctx, entry.StartRequest{Caller: "omuti", Class: "quote", Key: key, Budget: 100, ParentHandle: parent.Token()})
+				if test.end {
+					require.NoError(t, err)
+					require.Len(t, c.reservations, 1)
+					_, err = e.End(ctx, "omuti", child.Token(), false)
+					require.NoError(t, err)
+				}
+				require.Error(t, ctx.Err(), "the caller has left")
+				require.Equal(t, test.reserved, len(c.reservations) == 1)
+			})
+		})
+	}
+}
+
 // TestStartInDoubtStaysInDoubt guards against a program that may have started at one endpoint
 // being reported as not run because another endpoint refused it.
 func TestStartInDoubtStaysInDoubt(t *testing.T) {
