Send requests again that were canceled or timed out on the server's side

A caller got the error canceled from the Go client, and its program stopped there, when another home had taken the program over in the middle of a call: the home that loses a program cancels its running call. The same for timeout, after an engine that sent no text.

Which is right: the page for callers says of both reasons "send again", and that the client sends again what is safe to. Both are safe, since each number runs once, and the caller did not cancel anything. So the page stays and the code is mended.

Cause: retryable named the kind canceled, but wanted a Connect code of which the server sends none with it; it did not name timeout.

Evidence: TestRequestsAreSentAgainAsThePageForCallersSays/canceled and /timeout failed with "expected: true, actual: false". The test has all reasons of the page's table; TestCanceledCallerSendsNothingAgain, which passed before too, checks that a caller who cancels the context ends the request.

Looked for the same cause, reasons and codes that don't fit: codeByKind of adapter/caller fits the page for all kinds but internal, which the page doesn't name. entry.homeSearch doesn't repeat a canceled call itself; the retry comes from the client.

--- a/client/error.go
+++ b/client/error.go
@@ -70,11 +70,18 @@
 func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
 
 // retryable reports whether the failure is temporary, so that the request is worth sending
-// again. Repeating a call is safe because each call number runs once.
+// again. Repeating a call is safe because each call number runs once. A request that was
+// canceled or timed out on the server's side, as when another home takes over the program,
+// is sent again too; one that the caller has canceled is not, whatever its error.
 func (e *Error) retryable() bool {
 	switch e.kind {
-	case "unavailable", "overloaded", "leaving", "moved", "canceled":
-		return e.code == connect.CodeUnavailable || e.code == connect.CodeUnknown || e.code == connect.CodeInternal
+	case "unavailable", "overloaded", "leaving", "moved", "canceled", "timeout":
+	default:
+		return false
+	}
+	switch e.code {
+	case connect.CodeUnavailable, connect.CodeUnknown, connect.CodeInternal, connect.CodeCanceled, connect.CodeDeadlineExceeded:
+		return true
 	}
 	return false
 }
