Keep a request of the client in doubt when a later attempt did not run

The Go client said that a request did not run, though an earlier attempt at it had been lost and may have run, if the last attempt was refused.

Cause: retry returned the error of the last attempt with that attempt's outcome.

Evidence: TestRequestInDoubtStaysInDoubt/"lost, then refused" failed with "expected: 0x0, actual: 0x2", in doubt and not run.

retry now remembers that an attempt was in doubt. A last error that isn't worth sending again is a decision of the home, which knows the earlier attempts by the number of the call, so its outcome stays (third case of the test).

--- a/client/client.go
+++ b/client/client.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/lavendervale/lavendervale/api/lavendervale/v1"
 	"github.com/lavendervale/lavendervale/api/lavendervale/v1/lavendervalev1connect"
+	"github.com/lavendervale/lavendervale/program"
 	"github.com/lavendervale/lavendervale/timer"
 )
 
@@ -112,8 +113,10 @@
 
 // retry calls f until it succeeds, fails with an error that is not retryable, ctx ends, or
 // the next attempt would start after the retry time. Delays back off exponentially and are
-// at least those that the errors recommend.
+// at least those that the errors recommend. The outcome of the error is NotRun only if no
+// attempt was in doubt, or if the last one was decided by the home, which knows of the others.
 func (c *Client) retry(ctx context.Context, op string, f func() error) error {
+	inDoubt := false
 	backOff := backoff.NewExponentialBackOff()
 	backOff.InitialInterval = firstRetryDelay
 	backOff.MaxInterval = maxRetryDelay
@@ -124,6 +127,10 @@
 			return nil
 		}
 		callErr := newError(op, err)
+		if inDoubt && callErr.outcome == program.NotRun && callErr.retryable() {
+			callErr.outcome = program.InDoubt
+		}
+		inDoubt = inDoubt || callErr.outcome == program.InDoubt
 		delay := max(backOff.NextBackOff(), callErr.RetryAfter())
 		if ctx.Err() != nil || !callErr.retryable() || time.Now().Add(delay).After(deadline) {
 			return callErr
--- a/client/retry_test.go
+++ b/client/retry_test.go
@@ -103,3 +103,36 @@
 		require.Zero(t, time.Since(started))
 	})
 }
+
+// TestRequestInDoubtStaysInDoubt guards against a request that may have run being reported
+// as not run because a later attempt of the client was refused.
+func TestRequestInDoubtStaysInDoubt(t *testing.T) {
+	full := refusal(t, connect.CodeUnavailable, program.KindOverloaded, program.NotRun)
+	lost := refusal(t, connect.CodeUnavailable, program.KindUnavailable, program.InDoubt)
+	ended := refusal(t, connect.CodeFailedPrecondition, program.KindEnded, program.NotRun)
+	tests := []struct {
+		name string
+		// first is the answer to the first attempt, then to all others.
+		first, then error
+		want        program.Outcome
+	}{
+		{name: "always refused", first: full, then: full, want: program.NotRun},
+		{name: "lost, then refused", first: lost, then: full, want: program.InDoubt},
+		{name: "lost, then decided by the home", first: lost, then: ended, want: program.NotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &service{errs: []error{test.first}}
+				for range 100 {
+					s.errs = append(s.errs, test.then)
+				}
+				p := &Program{client: &Client{service: s, retryTime: DefaultRetryTime}}
+				_, err := p.Finish(t.Context())
+				var failure *Error
+				require.ErrorAs(t, err, &failure)
+				require.Equal(t, test.want, failure.Outcome())
+			})
+		})
+	}
+}
