Count the prefill of preempted runs in the bench's prefill ratio

The bench understated the work that preemption costs: the column of recomputed over fresh tokens left out what a preempted run had read of its prompt, and all that was read again after the first token.

Cause: a call's prefill was its prompt less what was cached at the start of the one run that generated the first token. The engine's own total, which nothing read, counted a prompt when its stream joined the batch, read or not: a count before the fact.

Evidence: with the engine counting the tokens of each step, TestPreemptedPrefillIsCounted failed: "in the prompt" expected 5500, actual 4476; "in the prompt, then evicted" 6524 and 5500; "in the answer, then evicted" 11031 and 5500. "not preempted" and "in the answer" passed.

Streams count the tokens that steps compute, and calls add up those of all their runs.

Looked for the same cause in the other totals of the bench: output tokens are counted as generated, moves and preemptions after they were made, admissionRequests as asked.

--- a/bench/endpoint.go
+++ b/bench/endpoint.go
@@ -31,9 +31,8 @@
 	outputTokens int64
 	// generatedTokens counts the answer tokens from runs that were preempted.
 	generatedTokens int64
-	// cachedTokens counts the prompt tokens that were cached at the start of the run
-	// that generated the first token.
-	cachedTokens int64
+	// prefilledTokens counts the prompt tokens that the engine has computed in all runs.
+	prefilledTokens int64
 	// prefixTokens is the length of the system prompt that all programs of the
 	// class share.
 	prefixTokens int64
@@ -106,20 +105,19 @@
 	if !e.engine.cancel(s) {
 		return false
 	}
-	call.recordFirstToken(s)
+	call.recordRun(s)
 	call.generatedTokens += s.generatedTokens
 	e.simulation.result.preemptions++
 	e.schedule.Requeue(call.ticket, call.promptTokens+call.generatedTokens, call.outputTokens-call.generatedTokens, e.simulation.loop.now)
 	return true
 }
 
-// recordFirstToken takes the time of the first token and the number of cached
-// tokens from a run that has ended. Runs after the one that generated the first
-// token do not change them.
-func (c *activeCall) recordFirstToken(s *stream) {
+// recordRun takes the prefilled tokens and the time of the first token from a run that
+// has ended. Runs after the one that generated the first token do not change that time.
+func (c *activeCall) recordRun(s *stream) {
+	c.prefilledTokens += s.prefilledTokens
 	if c.firstTokenAt.IsZero() {
 		c.firstTokenAt = s.firstTokenAt
-		c.cachedTokens = s.cachedTokens
 	}
 }
 
@@ -127,7 +125,7 @@
 // its slot and invokes onDone.
 func (e *endpoint) finish(call *activeCall, s *stream) {
 	now := e.simulation.loop.now
-	call.recordFirstToken(s)
+	call.recordRun(s)
 	answer := schedule.Completion{PromptTokens: call.promptTokens, CachedTokens: s.cachedTokens, OutputTokens: call.outputTokens}
 	if s.outputTokens > 1 && !s.firstTokenAt.IsZero() {
 		answer.InterTokenLatency = now.Sub(s.firstTokenAt) / time.Duration(s.outputTokens-1)
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -43,8 +43,10 @@
 	// cachedTokens counts the prompt tokens that were cached when the stream
 	// joined the batch.
 	cachedTokens int64
-	// prefillLeft counts the prompt tokens that remain to be computed.
-	prefillLeft int64
+	// prefillLeft counts the prompt tokens that remain to be computed, and
+	// prefilledTokens those that were computed.
+	prefillLeft     int64
+	prefilledTokens int64
 	// outputTokens is the number of tokens to generate.
 	outputTokens int64
 	// generatedTokens counts the tokens generated so far.
@@ -76,7 +78,7 @@
 	// in the cache; they are never evicted and take no memory.
 	cachedPrefixes map[string]bool
 	// promptTokens, prefilledTokens and generatedTokens are totals since the start:
-	// prompt tokens of all batched streams, those not cached, and output tokens.
+	// prompt tokens of all batched streams, those computed, and output tokens.
 	promptTokens    int64
 	prefilledTokens int64
 	generatedTokens int64
@@ -148,7 +150,6 @@
 	e.evict(s.id)
 	s.prefillLeft = s.promptTokens - s.cachedTokens
 	e.promptTokens += s.promptTokens
-	e.prefilledTokens += s.prefillLeft
 	e.runningTokens += s.promptTokens + s.outputTokens
 	e.evictToFit()
 	e.running = append(e.running, s)
@@ -195,6 +196,8 @@
 			if s.rank == rank && s.prefillLeft > 0 {
 				n := min(chunkLeft, s.prefillLeft)
 				s.prefillLeft -= n
+				s.prefilledTokens += n
+				e.prefilledTokens += n
 				chunkLeft -= n
 			}
 		}
--- a/bench/result.go
+++ b/bench/result.go
@@ -15,9 +15,9 @@
 	policy   policy
 	seed     uint64
 	byRank   [class.Ranks]rankResult
-	// promptTokens counts all prompt tokens, prefilledTokens those that were not
-	// cached, and freshTokens those that no engine can have cached because they were
-	// sent for the first time.
+	// promptTokens counts all prompt tokens, prefilledTokens those that engines
+	// computed, also again after a preemption, and freshTokens those that no engine
+	// can have cached because they were sent for the first time.
 	promptTokens    int64
 	prefilledTokens int64
 	freshTokens     int64
@@ -124,7 +124,7 @@
 		return
 	}
 	r.promptTokens += call.promptTokens
-	r.prefilledTokens += call.promptTokens - call.cachedTokens
+	r.prefilledTokens += call.prefilledTokens
 	r.freshTokens += freshTokens
 	work := &r.answeredWork[run.plan.class.Rank()]
 	work.promptTokens += float64(freshTokens)
--- a/bench/simulation.go
+++ b/bench/simulation.go
@@ -57,6 +57,18 @@
 // simulate runs a workload in a scenario under a policy. Equal arguments give
 // equal results.
 func simulate(w *workload, s scenario, p policy, seed uint64) *result {
+	sim := newSimulation(w, s, p, seed)
+	sim.scheduleFaults()
+	for _, p := range s.programs(w, seed) {
+		sim.loop.after(p.arrivalOffset, func() { sim.startProgram(p) })
+	}
+	sim.loop.runUntil(time.Unix(0, 0).Add(arrivalTime + completionGracePeriod))
+	sim.result.finalize(sim)
+	return sim.result
+}
+
+// newSimulation returns a simulation of the fleet of a workload, without programs.
+func newSimulation(w *workload, s scenario, p policy, seed uint64) *simulation {
 	sim := &simulation{
 		loop: newEventLoop(), workload: w, scenario: s, policy: p, endpointsByName: map[string]*endpoint{},
 		loads: placement.NewTable(), random: rand.New(rand.NewPCG(seed, 7)), result: newResult(w, s, p, seed),
@@ -68,13 +80,7 @@
 		sim.startHeartbeats(e)
 	}
 	sim.assignSubsets(p.entryCount)
-	sim.scheduleFaults()
-	for _, p := range s.programs(w, seed) {
-		sim.loop.after(p.arrivalOffset, func() { sim.startProgram(p) })
-	}
-	sim.loop.runUntil(time.Unix(0, 0).Add(arrivalTime + completionGracePeriod))
-	sim.result.finalize(sim)
-	return sim.result
+	return sim
 }
 
 // scheduleFaults schedules the faults of the scenario, which affect the first
