Show that a program's demand rightly leaves out the system prompt

Only the first program of a class at an engine reads the system prompt (1200 tokens more in the test), because finished streams leave it there for all later ones, and nothing evicts it. freshTokens of a result leaves it out for the same reason, so goodput compares like with like.

The parameter that nothing used is gone, and the comment says why the prompt isn't counted. Arrival rates, and so all results, are as before.

--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -86,7 +86,7 @@
 	g := newGenerator(w, 1, 999)
 	var sum tokenDemand
 	for range samples {
-		demand := g.newProgram(shape, true).totalTokens(shape.prefixTokens)
+		demand := g.newProgram(shape, true).totalTokens()
 		sum.promptTokens += demand.promptTokens / samples
 		sum.outputTokens += demand.outputTokens / samples
 	}
--- a/bench/simulation_test.go
+++ b/bench/simulation_test.go
@@ -74,3 +74,27 @@
 		})
 	}
 }
+
+// TestDemandCountsWhatOneMoreProgramIsPrefilled checks the demand of a program, from which
+// arrival rates are derived, against what an engine computes for it. The system prompt is
+// not in it: the first program of a class leaves it at the engine for all later ones.
+func TestDemandCountsWhatOneMoreProgramIsPrefilled(t *testing.T) {
+	w := omuti()
+	sim := newSingleEndpoint(w, currentPolicy())
+	engine := sim.endpoints[0].engine
+	run := func(p *programPlan) int64 {
+		before := engine.prefilledTokens
+		sim.startProgram(p)
+		sim.loop.runUntil(sim.loop.now.Add(time.Hour))
+		return engine.prefilledTokens - before
+	}
+	withSubAgent := func(key string) *programPlan {
+		p := newPlan(w, class.Background, key, 3, 500, 50)
+		p.turns[1].subAgent = newPlan(w, class.Background, key+"-child", 2, 200, 20)
+		p.turns[1].subAgent.historyTokens = 0
+		return p
+	}
+	first, second := withSubAgent("first"), withSubAgent("second")
+	require.Equal(t, first.totalTokens().promptTokens+1200, float64(run(first)), "the first program of a class reads the system prompt too")
+	require.Equal(t, second.totalTokens().promptTokens, float64(run(second)))
+}
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -212,14 +212,15 @@
 }
 
 // totalTokens returns the demand of a program and its sub-agents if each prompt
-// token is prefilled only once.
-func (p *programPlan) totalTokens(prefixTokens int64) tokenDemand {
+// token is prefilled only once. The system prompt is not counted: engines keep it
+// once for all programs of a class.
+func (p *programPlan) totalTokens() tokenDemand {
 	d := tokenDemand{promptTokens: float64(p.historyTokens)}
 	for _, t := range p.turns {
 		d.promptTokens += float64(t.messageTokens)
 		d.outputTokens += float64(t.outputTokens)
 		if t.subAgent != nil {
-			child := t.subAgent.totalTokens(prefixTokens)
+			child := t.subAgent.totalTokens()
 			d.promptTokens += child.promptTokens
 			d.outputTokens += child.outputTokens
 		}
