Fail a benchmark that is asked for an unknown policy

With a mistyped name in -policy a benchmark ran nothing, or one policy less, and passed.

Cause: names that are no policy were skipped.

With the change, -policy nonesuch fails with: unknown policy "nonesuch".

Policies now run in the order of the list.

--- a/bench/decision_test.go
+++ b/bench/decision_test.go
@@ -22,25 +22,6 @@
 
 func workloads() []*workload { return []*workload{omuti(), cernavoda()} }
 
-// selectedPolicies returns the policies that -policy selects.
-func selectedPolicies() []policy {
-	switch *policyFlag {
-	case "all":
-		return policies()
-	case "parts":
-		return append([]policy{currentPolicy()}, ablations()...)
-	}
-	var selected []policy
-	for _, p := range policies() {
-		for _, name := range strings.Split(*policyFlag, ",") {
-			if p.name == name {
-				selected = append(selected, p)
-			}
-		}
-	}
-	return selected
-}
-
 // simulateParallel runs n simulations, up to eight at a time, and returns their
 // results in the order of their indices.
 func simulateParallel(n int, simulateOne func(i int) *result) []*result {
@@ -65,12 +46,14 @@
 func BenchmarkCernavoda(b *testing.B) { benchmarkWorkload(b, cernavoda()) }
 
 func benchmarkWorkload(b *testing.B, w *workload) {
+	selected, err := policiesByName(*policyFlag)
+	require.NoError(b, err)
 	for _, s := range scenarios() {
 		b.Run(s.name, func(b *testing.B) {
 			var results []*result
 			for b.Loop() {
 				results = results[:0]
-				for _, p := range selectedPolicies() {
+				for _, p := range selected {
 					results = append(results, simulate(w, s, p, *seedFlag))
 				}
 			}
@@ -163,6 +146,7 @@
 // TestRequirements checks all requirements with both workloads. -seeds sets the
 // number of seeds; 20 is the full check.
 func TestRequirements(t *testing.T) {
+	require.Positive(t, *seedsFlag, "no seed, nothing to check")
 	for _, w := range workloads() {
 		for i := range *seedsFlag {
 			seed := *seedFlag + uint64(i)
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -1,6 +1,12 @@
 package bench
 
-import "github.com/lavendervale/lavendervale/schedule"
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/lavendervale/lavendervale/schedule"
+)
 
 // placementKind selects how a call is assigned to an endpoint.
 type placementKind uint8
@@ -74,6 +80,26 @@
 	return []policy{fifoPolicy(), leastLoadedPolicy(), previousPolicy(), currentPolicy()}
 }
 
+// policiesByName returns the policies that a list selects: all, parts, or names
+// separated by commas, each of which must be known.
+func policiesByName(list string) ([]policy, error) {
+	switch list {
+	case "all":
+		return policies(), nil
+	case "parts":
+		return append([]policy{currentPolicy()}, ablations()...), nil
+	}
+	var selected []policy
+	for _, name := range strings.Split(list, ",") {
+		i := slices.IndexFunc(policies(), func(p policy) bool { return p.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("unknown policy %q", name)
+		}
+		selected = append(selected, policies()[i])
+	}
+	return selected, nil
+}
+
 // currentWithout returns the current policy, modified by change and named after
 // the part that it disables.
 func currentWithout(name string, change func(p *policy)) policy {
