Wait for the requests in the test of the queue's order

go test -race ./dispatch failed with a data race in TestQueueServesByRankThenSlack: the test closed a channel that its goroutines had sent to, ordered only by a second of virtual time, which the race detector doesn't take for an order.

The test now waits for the goroutines before it closes the channel. Its checks are as before.

--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,24 +30,25 @@
 		require.NoError(t, err)
 		now := time.Now()
 		served := make(chan string, 4)
+		var pending sync.WaitGroup
 		for _, r := range []struct {
 			name  string
 			rank  int
 			dueIn time.Duration
 		}{{"late rank", 2, time.Second}, {"more slack", 0, 3 * time.Second}, {"less slack", 0, time.Second}, {"middle", 1, time.Second}} {
-			go func() {
+			pending.Go(func() {
 				target, err := q.Acquire(t.Context(), dispatch.Priority{Rank: r.rank, DueAt: now.Add(r.dueIn)}, query)
 				if err == nil {
 					served <- r.name
 					time.Sleep(10 * time.Millisecond)
 					d.Release(target)
 				}
-			}()
+			})
 			synctest.Wait()
 		}
 		require.Equal(t, 4, q.Waiting("s"))
 		d.Release(occupying)
-		time.Sleep(time.Second)
+		pending.Wait()
 		close(served)
 		var order []string
 		for name := range served {
