Count retries and moves of requests to homes when they are sent

An entry counted retries and moves that it did not make and took them from the retry budget of the class: when the caller left in the wait, when no budget or no other endpoint was left, and after the last attempt, where the caller also waited 0.4 s for nothing. Callers who gave up so used up the retries of others of their class, and endpoints seemed to have work that was never sent to them.

Cause: the target was replaced, and the move counted, before the budget was asked; the retry was counted before the wait.

Evidence: TestOnlyRetriesThatAreSentCount failed: "the caller leaves in the wait" with "expected: 0, actual: 1" (with one request, it now sends 100), "the retry budget is used up" with "expected: 67, actual: 69". In a trial without returnRetry, the first and "no other endpoint" failed for the budget.

The budget is now asked first and given back if no attempt follows; attempts are counted as they are sent, and none is prepared after the last.

Found while looking for counts before the fact (hedges of the gateway). Left: the placement of work at an endpoint for a caller who leaves in the wait, which the next report of the endpoint corrects.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -423,3 +423,67 @@
 		require.LessOrEqual(t, calls, requests+requests/5+50+1, "retries are at most a fifth of the requests plus the saved retries")
 	})
 }
+
+// TestOnlyRetriesThatAreSentCount guards against retries and moves that are counted, and
+// taken from the retry budget, without another attempt.
+func TestOnlyRetriesThatAreSentCount(t *testing.T) {
+	lost := program.NewError(program.ErrorConfig{Op: "call", Kind: program.KindUnavailable, Outcome: program.InDoubt, Err: errDown})
+	t.Run("the caller leaves in the wait", func(t *testing.T) {
+		runInCluster(t, func(t *testing.T, c *cluster) {
+			e := startEntryWithEndpoints(t, c, "model-1")
+			started, err := startProgram(t, c, e)
+			require.NoError(t, err)
+			const requests = 100
+			for range requests {
+				c.endpoints["model-1"].update(func(e *endpoint) { e.callErrs = []error{lost} })
+				ctx, cancel := context.WithTimeout(c.ctx, 10*time.Millisecond)
+				_, err = e.Call(ctx, "omuti", started.Token(), newCall(t), func([]byte) error { return nil })
+				cancel()
+				require.Error(t, err)
+			}
+			require.Equal(t, requests, c.endpoints["model-1"].calls)
+			require.Equal(t, int64(0), e.Metrics()["retries"])
+			c.endpoints["model-1"].update(func(e *endpoint) { e.callErrs = []error{lost, lost, lost} })
+			_, err = e.Call(c.ctx, "omuti", started.Token(), newCall(t), func([]byte) error { return nil })
+			require.NoError(t, err, "the retry budget is whole, as nothing was sent again")
+		})
+	})
+	t.Run("the retry budget is used up", func(t *testing.T) {
+		runInCluster(t, func(t *testing.T, c *cluster) {
+			e := startEntryWithEndpoints(t, c, "model-1", "model-2", "model-3")
+			started, err := startProgram(t, c, e)
+			require.NoError(t, err)
+			for _, model := range c.endpoints {
+				model.update(func(e *endpoint) { e.moved = true })
+			}
+			const requests = 100
+			for range requests {
+				_, err := e.Call(c.ctx, "omuti", started.Token(), newCall(t), func([]byte) error { return nil })
+				require.Error(t, err)
+			}
+			calls := 0
+			for _, model := range c.endpoints {
+				calls += model.calls
+			}
+			require.Equal(t, int64(calls-requests), e.Metrics()["retries"])
+			require.Equal(t, int64(calls-requests), e.Metrics()["moves"], "each retry went to another endpoint")
+		})
+	})
+	t.Run("no other endpoint", func(t *testing.T) {
+		runInCluster(t, func(t *testing.T, c *cluster) {
+			e := startEntryWithEndpoints(t, c, "model-1")
+			started, err := startProgram(t, c, e)
+			require.NoError(t, err)
+			model := c.endpoints["model-1"]
+			model.update(func(e *endpoint) { e.moved = true })
+			const requests = 100
+			for range requests {
+				_, err := e.Call(c.ctx, "omuti", started.Token(), newCall(t), func([]byte) error { return nil })
+				require.Error(t, err)
+			}
+			model.update(func(e *endpoint) { e.moved, e.callErrs = false, []error{lost, lost, lost} })
+			_, err = e.Call(c.ctx, "omuti", started.Token(), newCall(t), func([]byte) error { return nil })
+			require.NoError(t, err, "the retry budget is whole, as nothing was sent again")
+		})
+	})
+}
--- a/entry/home_search.go
+++ b/entry/home_search.go
@@ -31,6 +31,9 @@
 	target string
 	// retryWait is the wait before the next retry.
 	retryWait time.Duration
+	// moved is set when target was replaced since the latest attempt, to take over the
+	// program.
+	moved bool
 	// unreachableSince is when an attempt at target first failed with
 	// program.KindUnavailable; zero before that.
 	unreachableSince time.Time
@@ -57,18 +60,16 @@
 	e.retries.recordRequest(h.Class())
 	var err error
 	inDoubt := false
-	for range maxHomeAttempts {
+	for attempt := range maxHomeAttempts {
 		if err = search.replaceDeadTarget(); err != nil {
 			break
 		}
+		search.countAttempt(attempt)
 		err = send(ctx, search.target, search.handle)
-		if err == nil || !search.prepareRetry(err) || !search.allowRetry(err) {
+		if err == nil || attempt == maxHomeAttempts-1 || !search.prepareRetry(ctx, err) {
 			break
 		}
 		inDoubt = inDoubt || program.AsError(err).Outcome() == program.InDoubt
-		if !search.waitForRetry(ctx) {
-			break
-		}
 	}
 	if inDoubt && !ownerDecided(err) {
 		return withDoubt(err)
@@ -122,36 +123,66 @@
 	if !ok {
 		return noEndpointError("find home")
 	}
-	s.entry.metrics.moves.Add(1)
 	s.setTarget(chosen)
+	s.moved = true
 	return nil
 }
 
+// countAttempt counts an attempt that is about to be sent.
+func (s *homeSearch) countAttempt(attempt int) {
+	if attempt > 0 {
+		s.entry.metrics.retries.Add(1)
+	}
+	if s.moved {
+		s.entry.metrics.moves.Add(1)
+	}
+	s.moved = false
+}
+
 // setTarget sets the instance that the next attempt goes to, which has not failed yet.
 func (s *homeSearch) setTarget(instance string) {
 	s.target, s.unreachableSince = instance, time.Time{}
 }
 
-// prepareRetry reports whether the request may be sent again after err, and selects the
-// target for that. An unavailable home that advises a retry delay leaves the retry to the
-// caller.
-func (s *homeSearch) prepareRetry(err error) bool {
+// prepareRetry reports whether the request is to be sent again after err. It uses the retry
+// budget of the class for that, selects the target and waits.
+func (s *homeSearch) prepareRetry(ctx context.Context, err error) bool {
+	if !mayRetry(err) || !s.takeRetry(err) {
+		return false
+	}
+	if s.selectTarget(err) && s.waitForRetry(ctx) {
+		return true
+	}
+	s.returnRetry(err)
+	return false
+}
+
+// mayRetry reports whether a request may be sent again after err. An unavailable home that
+// advises a retry delay leaves the retry to the caller.
+func mayRetry(err error) bool {
 	e := program.AsError(err)
 	switch e.Kind() {
-	case program.KindMoved:
-		if e.Home() == "" {
-			return s.replaceTarget() == nil
-		}
+	case program.KindMoved, program.KindLeaving:
+		return true
+	case program.KindUnavailable:
+		return e.RetryAfter() == 0
+	}
+	return false
+}
+
+// selectTarget selects the target of another attempt after err, and returns false when
+// there is none.
+func (s *homeSearch) selectTarget(err error) bool {
+	e := program.AsError(err)
+	switch {
+	case e.Kind() == program.KindUnavailable:
+		return s.replaceUnreachableTarget() == nil
+	case e.Kind() == program.KindMoved && e.Home() != "":
 		s.handle = s.handle.WithHome(e.Home())
 		s.setTarget(e.Home())
-	case program.KindLeaving:
-		return s.replaceTarget() == nil
-	case program.KindUnavailable:
-		return e.RetryAfter() == 0 && s.replaceUnreachableTarget() == nil
-	default:
-		return false
+		return true
 	}
-	return true
+	return s.replaceTarget() == nil
 }
 
 // replaceUnreachableTarget selects another target when the current one has not answered for
@@ -167,20 +198,28 @@
 	return s.replaceTarget()
 }
 
-// allowRetry reports whether the retry budget of the class permits another attempt, and
-// uses it. A retry after a request that certainly did not run, such as after a refused
-// connection, is free, because it put no load on an endpoint.
-func (s *homeSearch) allowRetry(err error) bool {
+// freeRetry reports whether a retry after err needs no budget. A request that certainly did
+// not run, such as after a refused connection, put no load on an endpoint.
+func freeRetry(err error) bool {
 	e := program.AsError(err)
-	if e.Kind() == program.KindUnavailable && e.Outcome() == program.NotRun {
-		return true
+	return e.Kind() == program.KindUnavailable && e.Outcome() == program.NotRun
+}
+
+// takeRetry reports whether the retry budget of the class permits another attempt after err,
+// and uses it.
+func (s *homeSearch) takeRetry(err error) bool {
+	return freeRetry(err) || s.entry.retries.take(s.handle.Class())
+}
+
+// returnRetry gives back what takeRetry has used for an attempt that is not sent.
+func (s *homeSearch) returnRetry(err error) {
+	if !freeRetry(err) {
+		s.entry.retries.giveBack(s.handle.Class())
 	}
-	return s.entry.retries.take(s.handle.Class())
 }
 
 // waitForRetry waits before the next attempt and returns false when ctx ended.
 func (s *homeSearch) waitForRetry(ctx context.Context) bool {
-	s.entry.metrics.retries.Add(1)
 	s.entry.config.Logger.Debug("retrying a request to the home of a program", zap.Stringer("program", s.handle.Program()), zap.String("endpoint", s.target))
 	wait := s.retryWait
 	s.retryWait = min(2*wait, maxRetryWait)
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -39,6 +39,13 @@
 	return true
 }
 
+// giveBack returns a retry that was taken and not made.
+func (b *retryBudget) giveBack(class string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retriesByClass[class] = min(maxSavedRetries, b.available(class)+1)
+}
+
 // available returns the retries left for a class. b.mu must be held.
 func (b *retryBudget) available(class string) float64 {
 	if n, ok := b.retriesByClass[class]; ok {
