Read the configuration stream no further than its end

Since an entry checks for a restart of the log, a poll that found a new configuration read three times: the new entry, the last one again, and once more to see that nothing follows. All entries share the log, and at the size to design for each poll finds changes.

Evidence: TestNewConfigurationCostsOneMoreRead failed with "expected: 25, actual: 30" for five publications among 20 polls.

A page says where the stream ends, so the last of the three reads is not needed.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -159,6 +159,27 @@
 	})
 }
 
+// TestNewConfigurationCostsOneMoreRead bounds the reads of the log, which all entries share.
+func TestNewConfigurationCostsOneMoreRead(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		c.startEntry("entry-1")
+		c.appendConfigurations(configuration.NoVersion, 1)
+		c.waitForPropagation()
+		// From here on, what the test does falls between two polls.
+		time.Sleep(250 * time.Millisecond)
+		readsIn := func(publications int) int64 {
+			before := c.log.Stats().Reads
+			for i := range publications {
+				c.appendConfigurations(int64(i), 1)
+				time.Sleep(time.Second)
+			}
+			time.Sleep(time.Duration(10-publications) * time.Second)
+			return c.log.Stats().Reads - before
+		}
+		require.Equal(t, readsIn(0)+5, readsIn(5))
+	})
+}
+
 // startProgram starts a program with a new key.
 func startProgram(t *testing.T, c *cluster, e *entry.Entry) (entry.Started, error) {
 	t.Helper()
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -97,6 +97,9 @@
 			e.applyPublication(entry)
 			cursor.nextOffset, cursor.last = entry.Offset()+1, &entry
 		}
+		if cursor.nextOffset >= page.NextOffset() {
+			return nil
+		}
 	}
 }
 
