session: Let one dial serve all requests to an address

What callers saw: while a front is silent, requests to it wait in line, each for a dial of its own, so the last of ten waits for ten dials, whatever its deadline. The ping that would suspend the front waits in the same line, so that the front gets requests all the while.

The lock is also held while a stream is opened, which blocks when the other side accepts none.

TestDialOutlastsTheRequestThatBeganIt counted a second dial, TestSessionDialedForAClosedPoolIsClosed got a stream from a closed pool, and TestOpenOfAStreamThatIsNotAcceptedEndsWithItsContext hung.

Why it works: a dial runs in a goroutine of its own with dialTimeout; requests and pings wait for its result, each within its own context or timeout. One lock guards the pool, and nothing that may block happens under it. A connection that leaves the pool during its dial is decided on the spot: the requests that wait for it fail, the context of the dial ends, and a session that is dialed nevertheless is closed by the dial. Close waits for the dials. OpenStream is called in a goroutine, at most 64 for each session; a stream opened after its request has left is aborted.

Same cause looked for in each function that keeps a mutex until it returns and takes a context, and in each that dials: platform/connection_pool.go dials once for each request, outside its lock; the reads of history, home, entry and turn happen outside their locks. daemon/crash_tracker.go reads the log under its lock; it is not changed here.

--- a/adapter/session/pool.go
+++ b/adapter/session/pool.go
@@ -27,69 +27,51 @@
 	idleCheckInterval = time.Second
 	// streamWindowBytes is the receive window of one stream.
 	streamWindowBytes = 1 << 20
+	// maxOpening is how many calls of OpenStream a session has under way at most, and so
+	// how many goroutines a process that accepts no streams holds up.
+	maxOpening = 64
 )
 
 // Pool opens sessions to addresses when they are first needed and closes idle ones. Its
 // methods are safe for concurrent use.
 type Pool struct {
 	config PoolConfig
-	// mu guards slots and closed; it is not held while a connection is set up.
+	// mu guards connections, closed, and fields of each connection; it is not held while
+	// a connection or a stream is set up, or while a session is closed.
 	mu sync.Mutex
-	// slots holds the slot of each address.
-	slots  map[string]*slot
-	closed bool
+	// connections holds the connection to each address, set up or being set up.
+	connections map[string]*connection
+	closed      bool
 	// done is closed by Close.
 	done chan struct{}
+	// dials counts the dials under way.
+	dials sync.WaitGroup
 }
 
 // PoolConfig describes a Pool.
 type PoolConfig struct {
 	// Dial connects to an address; nil stands for plain TCP. Its context ends after
-	// dialTimeout.
+	// dialTimeout, or when the session is closed, and Dial must return then.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-// slot holds the session to one address.
-type slot struct {
-	// lock guards the other fields: who has sent a value holds it until receiving one. It
-	// is held while the connection is set up, so that concurrent requests share one
-	// session; unlike a mutex, a context can end the wait for it.
-	lock chan struct{}
-	// session is nil until a connection succeeds and after one has failed. It may be closed
-	// already; Open replaces it then.
+// connection is a session to an address, or the dial that sets it up. The dial belongs to
+// no request: all requests to the address wait for it, each within its own context.
+type connection struct {
+	// cancelDial ends the context of the dial.
+	cancelDial context.CancelFunc
+	// decided is closed, under the lock of the pool, once session or err is set; they
+	// don't change afterwards. A connection leaves the pool at the latest when err is set.
+	decided chan struct{}
 	session *yamux.Session
-	// lastOpenAt is when a stream was last requested, or when the slot was created.
+	err     error
+	// opening holds a value for each call of OpenStream that has not returned; some
+	// outlast their requests.
+	opening chan struct{}
+	// lastOpenAt is when a stream was last requested. It is guarded by the lock of the pool.
 	lastOpenAt time.Time
-	// removed is set once the slot is no longer in the pool; no session is set then.
-	removed bool
 }
 
-func newSlot() *slot {
-	return &slot{lock: make(chan struct{}, 1), lastOpenAt: time.Now()}
-}
-
-// acquire locks the slot, or returns the error of ctx when it ends first.
-func (s *slot) acquire(ctx context.Context) error {
-	select {
-	case s.lock <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// tryAcquire locks the slot, or returns false when it is locked.
-func (s *slot) tryAcquire() bool {
-	select {
-	case s.lock <- struct{}{}:
-		return true
-	default:
-		return false
-	}
-}
-
-func (s *slot) release() { <-s.lock }
-
 // NewPool returns a pool without sessions. Close ends its goroutine, which closes idle
 // sessions.
 func NewPool(c PoolConfig) *Pool {
@@ -99,7 +81,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	p := &Pool{config: c, slots: map[string]*slot{}, done: make(chan struct{})}
+	p := &Pool{config: c, connections: map[string]*connection{}, done: make(chan struct{})}
 	go p.closeIdlePeriodically()
 	return p
 }
@@ -120,48 +102,41 @@
 }
 
 func (p *Pool) closeIdle(now time.Time) {
+	var idle []*connection
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, s := range p.slots {
-		if s.closeIfIdle(now) {
-			delete(p.slots, address)
+	for address, c := range p.connections {
+		if c.idle(now) {
+			delete(p.connections, address)
+			idle = append(idle, c)
 		}
 	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.session.Close()
+	}
 }
 
-// closeIfIdle closes the session if it has no streams and the last one was opened at least
-// idleTimeout ago, and reports whether it did. A slot whose connection is being set up is
-// not idle.
-func (s *slot) closeIfIdle(now time.Time) bool {
-	if !s.tryAcquire() {
-		return false
-	}
-	defer s.release()
-	if now.Sub(s.lastOpenAt) < idleTimeout || (s.session != nil && s.session.NumStreams() > 0) {
-		return false
-	}
-	s.closeLocked()
-	return true
+// idle reports whether the session has no streams and the last one was requested at least
+// idleTimeout ago; the lock of the pool must be held. A connection being set up is not idle.
+func (c *connection) idle(now time.Time) bool {
+	return c.isDecided() && now.Sub(c.lastOpenAt) >= idleTimeout && c.session.NumStreams() == 0
 }
 
 // PingOrClose pings the process at an address and reports whether it responded within
-// timeout. If not, the session is closed, which fails the requests on it. Without a
-// session to the address the result is false.
+// timeout, which includes the wait for a connection being set up. If not, the session is
+// closed, which fails the requests on it. Without a session to the address the result is
+// false.
 func (p *Pool) PingOrClose(address string, timeout time.Duration) bool {
 	p.mu.Lock()
-	s, ok := p.slots[address]
+	c, ok := p.connections[address]
 	p.mu.Unlock()
 	if !ok {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if s.acquire(ctx) != nil {
-		return false
-	}
-	session := s.session
-	s.release()
-	if session == nil {
+	session, err := c.wait(ctx)
+	if err != nil {
 		return false
 	}
 	pingResult := make(chan error, 1)
@@ -176,78 +151,122 @@
 		}
 	case <-ctx.Done():
 	}
-	_ = session.Close()
+	p.remove(address, c)
 	return false
 }
 
-// Close closes all sessions. Later calls of Open fail.
+// Close closes all sessions and ends the dials under way. Later calls of Open fail.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	if !p.closed {
 		close(p.done)
 	}
 	p.closed = true
-	slots := p.slots
-	p.slots = map[string]*slot{}
+	connections := p.connections
+	p.connections = map[string]*connection{}
+	for _, c := range connections {
+		c.cancel()
+	}
 	p.mu.Unlock()
-	for _, s := range slots {
-		s.close()
+	for _, c := range connections {
+		c.closeSession()
 	}
+	p.dials.Wait()
 }
 
-// CloseSession closes the session to an address, if there is one.
+// CloseSession closes the session to an address, if there is one. Requests that wait for
+// its connection fail.
 func (p *Pool) CloseSession(address string) {
 	p.mu.Lock()
-	s, ok := p.slots[address]
-	delete(p.slots, address)
+	c, ok := p.connections[address]
 	p.mu.Unlock()
 	if ok {
-		s.close()
+		p.remove(address, c)
 	}
 }
 
-// SessionCount returns the number of addresses with a session. An address whose connection
-// is being set up or has failed counts until it has been idle for idleTimeout.
+// SessionCount returns the number of addresses with a session or a connection being set up.
 func (p *Pool) SessionCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.slots)
-}
-
-// close closes the session of a slot that has been removed from the pool. It waits for a
-// connection that is being set up.
-func (s *slot) close() {
-	s.lock <- struct{}{}
-	defer s.release()
-	s.closeLocked()
+	return len(p.connections)
 }
 
-func (s *slot) closeLocked() {
-	s.removed = true
-	if s.session != nil {
-		_ = s.session.Close()
+// remove takes a connection out of the pool, unless it has left already, and closes it.
+func (p *Pool) remove(address string, c *connection) {
+	p.mu.Lock()
+	if p.connections[address] == c {
+		delete(p.connections, address)
 	}
+	c.cancel()
+	p.mu.Unlock()
+	c.closeSession()
 }
 
 // Open opens a stream to an address. It sets up a new session when there is none or the
-// old one opens no streams.
+// old one opens no streams. It returns the error of ctx if that ends first; a connection
+// being set up is left to later requests.
 func (p *Pool) Open(ctx context.Context, address string) (*yamux.Stream, error) {
-	s, err := p.acquireSlot(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	defer s.release()
-	s.lastOpenAt = time.Now()
-	if s.session != nil {
-		stream, err := s.session.OpenStream()
+	for {
+		c, reused, err := p.connectionTo(address)
+		if err != nil {
+			return nil, err
+		}
+		stream, err := c.open(ctx)
 		if err == nil {
 			return stream, nil
 		}
-		_ = s.session.Close()
-		s.session = nil
+		if ctx.Err() != nil {
+			return nil, trace.Wrap(err)
+		}
+		p.remove(address, c)
+		if !reused {
+			return nil, trace.Wrap(err)
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+}
+
+// connectionTo returns the connection to an address and reports whether it is set up. If
+// there is none, a dial is begun.
+func (p *Pool) connectionTo(address string) (c *connection, isSetUp bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, false, trace.ConnectionProblem(nil, "session pool is closed")
+	}
+	c, ok := p.connections[address]
+	if !ok {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		c = &connection{cancelDial: cancel, decided: make(chan struct{}), opening: make(chan struct{}, maxOpening)}
+		p.connections[address] = c
+		p.dials.Go(func() {
+			defer cancel()
+			p.dial(ctx, address, c)
+		})
+	}
+	c.lastOpenAt = time.Now()
+	return c, c.isDecided(), nil
+}
+
+// dial sets up a connection. If it has left the pool meanwhile, the session is closed, as
+// nothing else would.
+func (p *Pool) dial(ctx context.Context, address string, c *connection) {
+	session, err := p.dialSession(ctx, address)
+	p.mu.Lock()
+	wanted := !c.isDecided()
+	if wanted {
+		c.decide(session, err)
+		if err != nil {
+			delete(p.connections, address)
+		}
+	}
+	p.mu.Unlock()
+	if !wanted && session != nil {
+		_ = session.Close()
+	}
+}
+
+func (p *Pool) dialSession(ctx context.Context, address string) (*yamux.Session, error) {
 	conn, err := p.config.Dial(ctx, address)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -257,42 +276,87 @@
 		_ = conn.Close()
 		return nil, trace.Wrap(err)
 	}
-	s.session = session
-	stream, err := session.OpenStream()
-	return stream, trace.Wrap(err)
+	return session, nil
 }
 
-// acquireSlot locks the slot of an address. A slot that has been removed during the wait is
-// replaced, since the pool would never close a session in it.
-func (p *Pool) acquireSlot(ctx context.Context, address string) (*slot, error) {
-	for {
-		s, err := p.slotFor(address)
-		if err != nil {
-			return nil, err
-		}
-		if err := s.acquire(context.WithoutCancel(ctx)); err != nil {
-			return nil, trace.Wrap(err)
-		}
-		if !s.removed {
-			return s, nil
-		}
-		s.release()
+// decide sets the result of the dial; the lock of the pool must be held.
+func (c *connection) decide(session *yamux.Session, err error) {
+	c.session, c.err = session, err
+	close(c.decided)
+}
+
+func (c *connection) isDecided() bool {
+	select {
+	case <-c.decided:
+		return true
+	default:
+		return false
 	}
 }
 
-// slotFor returns the slot of an address, a new one if needed.
-func (p *Pool) slotFor(address string) (*slot, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return nil, trace.ConnectionProblem(nil, "session pool is closed")
+// cancel ends the dial and fails the requests that wait for it, if it is under way; the
+// lock of the pool must be held.
+func (c *connection) cancel() {
+	if !c.isDecided() {
+		c.cancelDial()
+		c.decide(nil, trace.ConnectionProblem(nil, "session was closed while its connection was set up"))
 	}
-	s, ok := p.slots[address]
-	if !ok {
-		s = newSlot()
-		p.slots[address] = s
+}
+
+// closeSession closes the session of a connection that has left the pool.
+func (c *connection) closeSession() {
+	if c.session != nil {
+		_ = c.session.Close()
+	}
+}
+
+// wait returns the session once it is set up.
+func (c *connection) wait(ctx context.Context) (*yamux.Session, error) {
+	select {
+	case <-c.decided:
+		return c.session, c.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// open opens a stream once the session is set up. OpenStream waits while the other side
+// accepts no streams; its call goes on when ctx ends, and the stream is aborted then.
+func (c *connection) open(ctx context.Context) (*yamux.Stream, error) {
+	session, err := c.wait(ctx)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case c.opening <- struct{}{}:
+	case <-session.CloseChan():
+		return nil, yamux.ErrSessionShutdown
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	type result struct {
+		stream *yamux.Stream
+		err    error
+	}
+	// Without a buffer, either the request or the goroutine has the stream.
+	opened := make(chan result)
+	go func() {
+		stream, err := session.OpenStream()
+		<-c.opening
+		select {
+		case opened <- result{stream, err}:
+		case <-ctx.Done():
+			if err == nil {
+				AbortStream(stream)
+			}
+		}
+	}()
+	select {
+	case r := <-opened:
+		return r.stream, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return s, nil
 }
 
 // YamuxConfig returns the configuration of both ends of a session.
