dispatch: Pass over requests that no free endpoint can serve

What callers saw: a service stands still with a free endpoint. Requests wait to their deadlines, and are refused for want of room, while the first in line has failed at the free endpoint and waits for a busy one.

Cause: grantEndpoints stops at the first request for which Pick reports that all endpoints are busy. That depends on the request: on the endpoints that it excludes, how many requests an endpoint may hold beyond its slots, and whether it must not be repeated. A new request that is less urgent than the first in line is not tried at all.

Why it works: the requests of a service wait in lines, one for each combination of these three, so that an endpoint is free for all requests of a line or for none. The lines form a heap by their first requests. The most urgent request of all is tried first; when no endpoint is free for it, its line is passed over as a whole, and the next most urgent one is tried. So a request is overtaken only while no free endpoint can serve it.

Cost: the length of a line does not matter; a grant tries one request for each line, and at most 32 lines are passed over when something changes or a request arrives. Only the attempt every 25 ms goes through all lines, so that beyond 32 different sets of excluded endpoints a request may wait that much longer. A new request is tried if it is the first in its line, and only after the more urgent lines; before, it had to be more urgent than all others. TestGrantTriesFewOfALongQueue counts calls of Pick: at most 3 for 201 requests in two lines and at most 32 for 201 lines.

Same cause looked for in queue.Slots, the queue of an engine, by reading: a call that lacks memory holds up smaller ones of its rank there; only urgent calls overtake it, as the comment of StartNext says, so that large calls don't starve. No other package uses AllBusy.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"time"
@@ -29,83 +28,31 @@
 
 // Directory selects endpoints. It is implemented by *endpoint.Directory.
 type Directory interface {
-	// Pick selects an endpoint for a request and counts the request as running there.
+	// Pick selects an endpoint for a request and counts the request as running there. Of
+	// the query, only Service, MaxQueued, Once and ExcludedIDs determine whether an
+	// endpoint is free; the other fields determine which one is selected.
 	Pick(q endpoint.Query, now time.Time) (endpoint.Target, endpoint.PickResult)
 	// Changed returns a channel that is closed when an endpoint may have room.
 	Changed() <-chan struct{}
 }
 
-// waiter is a request that waits for an endpoint.
-type waiter struct {
-	priority Priority
-	query    endpoint.Query
-	// arrival numbers requests in the order in which they began to wait.
-	arrival uint64
-	// heapIndex is the position in the heap, -1 when the waiter has left it.
-	heapIndex int
-	// target is the assigned endpoint, zero if the service has no usable one left. It
-	// is set before decided is closed.
-	target endpoint.Target
-	// decided is closed when an endpoint has been assigned, or none is usable any more.
-	decided chan struct{}
-}
-
-// waiterHeap is a heap.Interface of the waiting requests of one service. The first to
-// be served is at index 0.
-type waiterHeap struct {
-	requests []*waiter
-}
-
-// Len returns the number of waiting requests.
-func (h *waiterHeap) Len() int { return len(h.requests) }
-
-// Less reports whether request i is served before request j.
-func (h *waiterHeap) Less(i, j int) bool {
-	a, b := h.requests[i], h.requests[j]
-	if a.priority.Before(b.priority) {
-		return true
-	}
-	if b.priority.Before(a.priority) {
-		return false
-	}
-	return a.arrival < b.arrival
-}
-
-// Swap exchanges two requests.
-func (h *waiterHeap) Swap(i, j int) {
-	h.requests[i], h.requests[j] = h.requests[j], h.requests[i]
-	h.requests[i].heapIndex, h.requests[j].heapIndex = i, j
-}
-
-// Push appends a *waiter.
-func (h *waiterHeap) Push(x any) {
-	w := x.(*waiter)
-	w.heapIndex = len(h.requests)
-	h.requests = append(h.requests, w)
-}
-
-// Pop removes and returns the last *waiter.
-func (h *waiterHeap) Pop() any {
-	n := len(h.requests) - 1
-	w := h.requests[n]
-	h.requests[n] = nil
-	h.requests = h.requests[:n]
-	w.heapIndex = -1
-	return w
-}
-
-// maxGrantInterval is the maximum time between two attempts to serve waiting requests.
-// An endpoint may get room without a reported change, because the load reports of other
-// instances age.
-const maxGrantInterval = 25 * time.Millisecond
+const (
+	// maxGrantInterval is the maximum time between two attempts to serve waiting requests.
+	// An endpoint may get room without a reported change, because the load reports of
+	// other instances age.
+	maxGrantInterval = 25 * time.Millisecond
+	// maxPassedOver is how many lines of a service are passed over at most when an
+	// endpoint may have become free; further ones are tried after maxGrantInterval.
+	maxPassedOver = 32
+)
 
 // Queue holds the requests of all services that wait for an endpoint. It is safe for
 // concurrent use.
 type Queue struct {
 	directory Directory
 	mu        sync.Mutex
-	// waitersByService holds the waiting requests of each service. A heap may be empty.
-	waitersByService map[string]*waiterHeap
+	// waitersByService holds the waiting requests of each service that has some.
+	waitersByService map[string]*serviceWaiters
 	lastArrival      uint64
 	// granting is set while grantUntilEmpty runs.
 	granting bool
@@ -113,7 +60,7 @@
 
 // New returns an empty queue that takes endpoints from a directory.
 func New(d Directory) *Queue {
-	return &Queue{directory: d, waitersByService: map[string]*waiterHeap{}}
+	return &Queue{directory: d, waitersByService: map[string]*serviceWaiters{}}
 }
 
 // Waiting returns the number of requests that wait for a service.
@@ -121,41 +68,16 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if waiters, ok := q.waitersByService[service]; ok {
-		return waiters.Len()
+		return waiters.count
 	}
 	return 0
 }
 
-// Acquire waits until an endpoint is free and no request of higher priority waits for
-// the service, and returns that endpoint. It returns an error of KindNoEndpoint when
-// the service has no usable endpoint for the request, and of KindTimeout when ctx ends
-// first.
+// Acquire waits until an endpoint is free that no request of higher priority can use, and
+// returns that endpoint. It returns an error of KindNoEndpoint when the service has no
+// usable endpoint for the request, and of KindTimeout when ctx ends first.
 func (q *Queue) Acquire(ctx context.Context, priority Priority, query endpoint.Query) (endpoint.Target, error) {
-	q.mu.Lock()
-	waiters := q.waitersByService[query.Service]
-	if waiters == nil {
-		waiters = &waiterHeap{}
-		q.waitersByService[query.Service] = waiters
-	}
-	if waiters.Len() == 0 || priority.Before(waiters.requests[0].priority) {
-		target, result := q.directory.Pick(query, time.Now())
-		if result == endpoint.Picked {
-			q.mu.Unlock()
-			return target, nil
-		}
-		if result == endpoint.NoneUsable {
-			q.mu.Unlock()
-			return endpoint.Target{}, Errorf("find endpoint", KindNoEndpoint, "service %s has no usable endpoint apart from %d already tried", query.Service, len(query.ExcludedIDs))
-		}
-	}
-	q.lastArrival++
-	w := &waiter{priority: priority, query: query, arrival: q.lastArrival, decided: make(chan struct{})}
-	heap.Push(waiters, w)
-	if !q.granting {
-		q.granting = true
-		go q.grantUntilEmpty()
-	}
-	q.mu.Unlock()
+	w := q.enqueue(priority, query)
 	select {
 	case <-w.decided:
 		return w.target, w.decisionError()
@@ -166,17 +88,40 @@
 	if w.heapIndex < 0 {
 		return w.target, w.decisionError()
 	}
-	heap.Remove(waiters, w.heapIndex)
+	q.waitersByService[query.Service].remove(w)
+	q.dropIfEmpty(query.Service)
 	return endpoint.Target{}, Errorf("find endpoint", KindTimeout, "no endpoint of service %s had room in time", query.Service)
 }
 
-// decisionError returns an error of KindNoEndpoint for a request that left the queue
-// without an endpoint, and nil otherwise.
-func (w *waiter) decisionError() error {
-	if w.target.Zero() {
-		return Errorf("find endpoint", KindNoEndpoint, "service %s has no usable endpoint left", w.query.Service)
+// enqueue adds a request to the queue. The first in its line is tried at once, after the
+// requests of higher priority.
+func (q *Queue) enqueue(priority Priority, query endpoint.Query) *waiter {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	waiters := q.waitersByService[query.Service]
+	if waiters == nil {
+		waiters = newServiceWaiters()
+		q.waitersByService[query.Service] = waiters
+	}
+	q.lastArrival++
+	w := &waiter{priority: priority, query: query, arrival: q.lastArrival, decided: make(chan struct{})}
+	waiters.add(w)
+	if w.heapIndex == 0 {
+		waiters.grant(q.directory, time.Now(), maxPassedOver, w)
+	}
+	q.dropIfEmpty(query.Service)
+	if len(q.waitersByService) > 0 && !q.granting {
+		q.granting = true
+		go q.grantUntilEmpty()
+	}
+	return w
+}
+
+// dropIfEmpty forgets a service without waiting requests; q.mu must be held.
+func (q *Queue) dropIfEmpty(service string) {
+	if q.waitersByService[service].count == 0 {
+		delete(q.waitersByService, service)
 	}
-	return nil
 }
 
 // grantUntilEmpty assigns endpoints to waiting requests whenever some become free,
@@ -184,42 +129,35 @@
 func (q *Queue) grantUntilEmpty() {
 	ticker := time.NewTicker(maxGrantInterval)
 	defer ticker.Stop()
+	tryAll := false
 	for {
 		changed := q.directory.Changed()
-		if !q.grantEndpoints(time.Now()) {
+		if !q.grantEndpoints(time.Now(), tryAll) {
 			return
 		}
 		select {
 		case <-changed:
+			tryAll = false
 		case <-ticker.C:
+			tryAll = true
 		}
 	}
 }
 
-// grantEndpoints assigns free endpoints to the first requests of each service, and
-// releases requests of services without a usable endpoint. It reports whether any
-// request still waits.
-func (q *Queue) grantEndpoints(now time.Time) bool {
+// grantEndpoints assigns free endpoints to the first requests of each service that can use
+// them, and releases requests of services without a usable endpoint. With tryAll set, it
+// may pass over any number of lines. It reports whether any request still waits.
+func (q *Queue) grantEndpoints(now time.Time, tryAll bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	waiting := false
 	for service, waiters := range q.waitersByService {
-		for waiters.Len() > 0 {
-			w := waiters.requests[0]
-			target, result := q.directory.Pick(w.query, now)
-			if result == endpoint.AllBusy {
-				break
-			}
-			heap.Pop(waiters)
-			w.target = target
-			close(w.decided)
-		}
-		if waiters.Len() == 0 {
-			delete(q.waitersByService, service)
-			continue
+		limit := maxPassedOver
+		if tryAll {
+			limit = waiters.Len()
 		}
-		waiting = true
+		waiters.grant(q.directory, now, limit, nil)
+		q.dropIfEmpty(service)
 	}
-	q.granting = waiting
-	return waiting
+	q.granting = len(q.waitersByService) > 0
+	return q.granting
 }
