--- a/adapter/session/pool_test.go
+++ b/adapter/session/pool_test.go
@@ -82,6 +82,31 @@
 	})
 }
 
+// TestOpenAndPingEndWhileADialGoesOn checks that a request and a ping do not wait beyond
+// their own time for a dial that does not end with its context either.
+func TestOpenAndPingEndWhileADialGoesOn(t *testing.T) {
+	dialing, release := make(chan struct{}, 1), make(chan struct{})
+	p := session.NewPool(session.PoolConfig{Dial: func(context.Context, string) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-release
+		return nil, net.ErrClosed
+	}})
+	defer p.Close()
+	first := make(chan error, 1)
+	go func() {
+		_, err := p.Open(context.Background(), "model-1")
+		first <- err
+	}()
+	<-dialing
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err := p.Open(ctx, "model-1")
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.False(t, p.PingOrClose("model-1", time.Millisecond))
+	close(release)
+	require.ErrorIs(t, <-first, net.ErrClosed)
+}
+
 // TestPingOfASilentAddressDoesNotWaitForDials guards against a lost front that keeps getting
 // requests, because the ping that would suspend it waits in line behind them.
 func TestPingOfASilentAddressDoesNotWaitForDials(t *testing.T) {
