history: Give every caller of a record in flight its result

What callers saw: a home that commits a record while another home commits the same one through the same committer, as after a takeover whose handle carries the record, waited until it was closed. It wrote none of its later records, so it never learned that it had been replaced, and kept the program in memory.

Cause: inFlight held one waiter a record id. A batch that held the record twice registered the second waiter only, and only that one got the result. A second commit in a later batch appended the record once more.

Test: TestRecordCommittedTwiceAtOnce failed before with "commit: wait for record ... to be read back from the log: context deadline exceeded" (both queued), and with positions 8192 and 4096 of two appends (the first in flight).

Fix: the stream keeps one pendingCommit a record id from its queueing to its result, which closes done; a further commit waits for the same one. The result is set under the lock before done is closed, so all waiters read the same.

Same class (a waiter replaced under its key) looked for in order/ledger.go (one entry an attempt, closed), home (transcript and pendingRecord close done), home/scheduler.go and dispatch/queue.go (keyed by ticket and service, a list each), turn, adapter/mesh and gateway (channels of one caller each): none found.

--- a/history/committer_test.go
+++ b/history/committer_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
@@ -285,3 +286,42 @@
 		require.EqualValues(t, 1, other.Stats().Corrupt)
 	})
 }
+
+// TestRecordCommittedTwiceAtOnce checks that all callers that commit the same record get its
+// result, whether the record is still queued or in flight when the second one comes.
+func TestRecordCommittedTwiceAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// interval is the time between the two commits.
+		interval time.Duration
+	}{
+		{name: "both are queued"},
+		{name: "the first is in flight", interval: 100 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withFixture(t, func(t *testing.T, f *fixture) {
+				c := f.startCommitter()
+				id, last := startProgram(t, f, c, "k")
+				f.log.SetFaults(standin.LogFaults{Down: true})
+				ctx, cancel := context.WithTimeout(f.ctx, time.Minute)
+				defer cancel()
+				r := newRecord(id, 0, last, history.Void())
+				positions := make(chan history.Position, 2)
+				commit := func() {
+					position, err := c.Commit(ctx, r)
+					assert.NoError(t, err)
+					positions <- position
+				}
+				go commit()
+				time.Sleep(test.interval)
+				go commit()
+				time.Sleep(time.Second)
+				f.log.SetFaults(standin.LogFaults{})
+				require.Equal(t, <-positions, <-positions)
+				require.EqualValues(t, 2, c.Stats().Records, "the started record and one append of r")
+				require.Zero(t, c.Stats().Waiting)
+			})
+		})
+	}
+}
--- a/history/read.go
+++ b/history/read.go
@@ -104,16 +104,15 @@
 		}
 		at := NewPosition(offset, i)
 		valid := s.chainEnds.accept(r, at)
-		pending, ok := s.inFlight[r.ID()]
-		if !ok {
+		pending, ok := s.pending[r.ID()]
+		if !ok || !pending.inFlight {
 			continue
 		}
-		delete(s.inFlight, r.ID())
 		if valid {
-			pending.done <- commitResult{position: at}
+			s.finishLocked(pending, commitResult{position: at})
 			continue
 		}
 		s.stats.Superseded++
-		pending.done <- commitResult{position: NoPosition, err: Errorf("commit", KindSuperseded, "record %s of type %s at position %s does not follow the latest record of its program", r.ID(), r.Body().Type(), at)}
+		s.finishLocked(pending, commitResult{position: NoPosition, err: Errorf("commit", KindSuperseded, "record %s of type %s at position %s does not follow the latest record of its program", r.ID(), r.Body().Type(), at)})
 	}
 }
--- a/history/stream.go
+++ b/history/stream.go
@@ -19,12 +19,15 @@
 	maxRetryDelay = 2 * time.Second
 )
 
-// pendingCommit is a record that is queued or being appended.
+// pendingCommit is a record that is queued or being appended, for all callers that commit
+// it at that time.
 type pendingCommit struct {
 	record Record
-	// done gets the result of the commit. It has room for one value, so that sending
-	// never blocks.
-	done chan commitResult
+	// inFlight is set once the record is part of a batch.
+	inFlight bool
+	// done is closed when the result is known; result is set before.
+	done   chan struct{}
+	result commitResult
 }
 
 // commitResult is the outcome of committing a record.
@@ -49,8 +52,9 @@
 	mu sync.Mutex
 	// queued holds records that are not part of a batch yet, oldest first.
 	queued []*pendingCommit
-	// inFlight holds records of the current batch that have not been read back yet.
-	inFlight map[RecordID]*pendingCommit
+	// pending holds the records that are queued, and those of the current batch that
+	// have not been read back yet.
+	pending map[RecordID]*pendingCommit
 	// chainEnds holds the latest valid record of each program.
 	chainEnds chainEnds
 	// nextOffset is the offset of the first entry that has not been read yet.
@@ -62,26 +66,43 @@
 
 func newStream(c CommitterConfig, name string) *stream {
 	return &stream{
-		config: c, name: name, wake: make(chan struct{}, 1), appendLimiter: rate.NewLimiter(rate.Limit(c.AppendRate/float64(c.StreamCount)), appendBurst), inFlight: map[RecordID]*pendingCommit{}, chainEnds: chainEnds{},
+		config: c, name: name, wake: make(chan struct{}, 1), appendLimiter: rate.NewLimiter(rate.Limit(c.AppendRate/float64(c.StreamCount)), appendBurst), pending: map[RecordID]*pendingCommit{}, chainEnds: chainEnds{},
 	}
 }
 
 // commit queues a record and waits until it is valid or superseded in the log. The error
 // is of KindUnknown when ctx ends first; the record stays queued and may still be appended.
 func (s *stream) commit(ctx context.Context, r Record) (Position, error) {
-	pending := &pendingCommit{record: r, done: make(chan commitResult, 1)}
-	s.mu.Lock()
-	s.queued = append(s.queued, pending)
-	s.mu.Unlock()
+	pending := s.enqueue(r)
 	s.signal()
 	select {
-	case res := <-pending.done:
-		return res.position, res.err
+	case <-pending.done:
+		return pending.result.position, pending.result.err
 	case <-ctx.Done():
 		return NoPosition, Errorf("commit", KindUnknown, "wait for record %s to be read back from the log: %w", r.ID(), ctx.Err())
 	}
 }
 
+// enqueue queues a record, unless it is pending already.
+func (s *stream) enqueue(r Record) *pendingCommit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pending, ok := s.pending[r.ID()]; ok {
+		return pending
+	}
+	pending := &pendingCommit{record: r, done: make(chan struct{})}
+	s.pending[r.ID()] = pending
+	s.queued = append(s.queued, pending)
+	return pending
+}
+
+// finishLocked ends a commit. s.mu must be held.
+func (s *stream) finishLocked(pending *pendingCommit, result commitResult) {
+	delete(s.pending, pending.record.ID())
+	pending.result = result
+	close(pending.done)
+}
+
 // signal wakes run.
 func (s *stream) signal() {
 	select {
@@ -135,7 +156,7 @@
 	batch := append([]*pendingCommit(nil), s.queued[:n]...)
 	s.queued = append(s.queued[:0], s.queued[n:]...)
 	for _, c := range batch {
-		s.inFlight[c.record.ID()] = c
+		c.inFlight = true
 	}
 	return batch
 }
@@ -188,7 +209,7 @@
 	records := make([]Record, 0, len(batch))
 	indexByID := make(map[RecordID]int, len(batch))
 	for _, c := range batch {
-		if s.inFlight[c.record.ID()] != c {
+		if s.pending[c.record.ID()] != c {
 			continue
 		}
 		indexByID[c.record.ID()] = len(records)
@@ -215,8 +236,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range batch {
-		delete(s.inFlight, c.record.ID())
-		c.done <- commitResult{position: NoPosition, err: Errorf("commit", KindCorrupt, "encode records: %w", err)}
+		s.finishLocked(c, commitResult{position: NoPosition, err: Errorf("commit", KindCorrupt, "encode records: %w", err)})
 	}
 }
 
@@ -233,6 +253,6 @@
 	defer s.mu.Unlock()
 	stats := s.stats
 	stats.Programs = len(s.chainEnds)
-	stats.Waiting = len(s.queued) + len(s.inFlight)
+	stats.Waiting = len(s.pending)
 	return stats
 }
