history: Fail only the record that can't be encoded

What callers would see: one record with a string that is not valid UTF-8 ends the commits of all records that wait with it, up to 4,096, with history.KindCorrupt. Their homes drop these programs as lost, and their callers get refusals in doubt for calls that were answered.

Cause: stream.append encodes a batch as a whole and failed the whole batch on an error.

Test: TestRecordThatCannotBeEncodedFailsAlone failed before with "before the invalid record: commit: encode records: string field contains invalid UTF-8".

Fix: a batch that can't be encoded is halved: its second half goes back to the head of the queue, in order, and the first is tried again, until a record is alone and fails by itself. An encoding that fails sends nothing, so no record is appended twice by it.

Same class (one bad item fails its batch) looked for in history/read.go (a record that can't be decoded is skipped alone), adapter/record (decodes one by one), turn/append.go, adapter/mesh/replicas.go and daemon/crash_tracker.go (one record an encoding): none found.

--- a/history/committer.go
+++ b/history/committer.go
@@ -104,7 +104,7 @@
 
 // Commit appends a record and returns its position once the record has been read back as
 // valid. The error is of KindSuperseded when the record never becomes valid, of
-// KindCorrupt when its batch can't be encoded, and of KindUnknown when ctx ended first: the
+// KindCorrupt when it can't be encoded, and of KindUnknown when ctx ended first: the
 // record may still become valid then.
 func (c *Committer) Commit(ctx context.Context, r Record) (Position, error) {
 	return c.stream(r.Program()).commit(ctx, r)
--- a/history/committer_test.go
+++ b/history/committer_test.go
@@ -325,3 +325,42 @@
 		})
 	}
 }
+
+// TestRecordThatCannotBeEncodedFailsAlone checks that the other records of its batch are
+// committed.
+func TestRecordThatCannotBeEncodedFailsAlone(t *testing.T) {
+	withFixture(t, func(t *testing.T, f *fixture) {
+		c := f.startCommitter()
+		id, last := startProgram(t, f, c, "k")
+		invalid := newRecord(program.NewID("c", "invalid"), 0, history.RecordID{}, history.Started(program.Config{Caller: "c", Key: "\xff"}))
+		first := newRecord(id, 0, last, history.Void())
+		second := newRecord(id, 0, first.ID(), history.Void())
+		tests := []struct {
+			name     string
+			record   history.Record
+			wantErr  bool
+			wantKind history.Kind
+		}{
+			{name: "before the invalid record", record: first},
+			{name: "invalid record", record: invalid, wantErr: true, wantKind: history.KindCorrupt},
+			{name: "after the invalid record", record: second},
+		}
+		var commits sync.WaitGroup
+		errs := make([]error, len(tests))
+		for i, test := range tests {
+			commits.Go(func() { _, errs[i] = c.Commit(f.ctx, test.record) })
+			synctest.Wait()
+		}
+		commits.Wait()
+		for i, test := range tests {
+			require.Equal(t, test.wantErr, errs[i] != nil, "%s: %v", test.name, errs[i])
+			if test.wantErr {
+				require.Equal(t, test.wantKind, history.KindOf(errs[i]), test.name)
+			}
+		}
+		loaded, err := f.startCommitter().Load(f.ctx, id)
+		require.NoError(t, err)
+		require.Equal(t, second.ID(), loaded.LastRecordID())
+		require.EqualValues(t, 3, c.Stats().Records)
+	})
+}
--- a/history/stream.go
+++ b/history/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -128,7 +129,10 @@
 			if len(batch) == 0 {
 				break
 			}
-			s.retryUntilDone(ctx, func() error { return s.append(ctx, batch) })
+			s.retryUntilDone(ctx, func() (err error) {
+				batch, err = s.append(ctx, batch)
+				return err
+			})
 			if ctx.Err() != nil {
 				return
 			}
@@ -171,34 +175,63 @@
 	}
 }
 
-// append appends the records of a batch that have not been read back from the log yet. It
-// is called again with the same batch after an error. An append that failed may be in the
-// log all the same, so the stream is read after it, and records found there are not sent
-// again.
-func (s *stream) append(ctx context.Context, batch []*pendingCommit) error {
+// append appends the records of a batch that have not been read back from the log yet, and
+// returns the batch that it tried to append: a part of the given one when that can't be
+// encoded as a whole. It is called again with the returned batch after an error. An append
+// that failed may be in the log all the same, so the stream is read after it, and records
+// found there are not sent again.
+func (s *stream) append(ctx context.Context, batch []*pendingCommit) ([]*pendingCommit, error) {
 	if err := s.catchUp(ctx); err != nil {
-		return err
+		return batch, err
 	}
-	records := s.recordsToAppend(batch)
+	batch, records, data := s.encode(batch)
 	if len(records) == 0 {
-		return nil
-	}
-	data, err := s.config.Codec.Encode(records)
-	if err != nil {
-		s.failBatch(batch, err)
-		return nil
+		return batch, nil
 	}
 	offset, err := s.config.Log.Append(ctx, s.name, data)
 	if err != nil {
 		s.countRetry()
 		_ = s.readToEnd(ctx)
-		return err
+		return batch, err
 	}
 	if err := s.readUpTo(ctx, offset); err != nil {
-		return err
+		return batch, err
 	}
 	s.applyAppended(offset, records, len(data))
-	return nil
+	return batch, nil
+}
+
+// encode returns the records of a batch that are to be appended, with their encoding. When
+// they can't be encoded together, it puts the second half of the batch back into the queue
+// and tries the first, so that a record that can't be encoded fails alone.
+func (s *stream) encode(batch []*pendingCommit) ([]*pendingCommit, []Record, []byte) {
+	for {
+		records := s.recordsToAppend(batch)
+		if len(records) == 0 {
+			return batch, nil, nil
+		}
+		data, err := s.config.Codec.Encode(records)
+		if err == nil {
+			return batch, records, data
+		}
+		if len(batch) == 1 {
+			s.failUnencodable(batch[0], err)
+			return batch, nil, nil
+		}
+		half := len(batch) / 2
+		s.requeue(batch[half:])
+		batch = batch[:half]
+	}
+}
+
+// requeue puts commits that are in flight back to the head of the queue.
+func (s *stream) requeue(commits []*pendingCommit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range commits {
+		c.inFlight = false
+	}
+	s.queued = slices.Concat(commits, s.queued)
 }
 
 // recordsToAppend returns the records of a batch that have not been read back from the
@@ -231,13 +264,11 @@
 	return r
 }
 
-// failBatch ends the commits of a batch that can't be encoded.
-func (s *stream) failBatch(batch []*pendingCommit, err error) {
+// failUnencodable ends the commit of a record that can't be encoded.
+func (s *stream) failUnencodable(c *pendingCommit, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range batch {
-		s.finishLocked(c, commitResult{position: NoPosition, err: Errorf("commit", KindCorrupt, "encode records: %w", err)})
-	}
+	s.finishLocked(c, commitResult{position: NoPosition, err: Errorf("commit", KindCorrupt, "encode record %s of type %s: %w", c.record.ID(), c.record.Body().Type(), err)})
 }
 
 func (s *stream) countRetry() {
