record: Refuse an append that is too large to be decoded

What callers would see: after an outage of the log, homes commit thousands of waiting records in one append. When these are larger than 64 MiB before compression, the append is acknowledged and all its commits succeed, but no process can decode it: programs that start there don't exist for any other home, the others fall back to an earlier turn.

Cause: Codec.Decode limits an append to maxDecodedBytes, Codec.Encode had no limit, and an append was limited by the number of its records only.

Test: TestLargeRecordsCanBeReadBack (history) failed before with "locate program: the log holds no record of program ..." after seven commits of 10 MiB without an error.

Fix: Encode fails above maxEncodedBytes, the size of a frame between processes and well below what a reader accepts; the committer then halves the batch, so the records go into several appends and only a single record beyond the limit fails.

Same class (a writer without the limit of its reader) looked for in adapter/frame (one limit on both sides), turn/append.go (maxBatchBytes). Seen and not mended: adapter/platform asks for up to 256 entries in one response, which it cuts at maxResponseBytes; a page above that can't be read, however often it is asked for.

--- a/adapter/record/codec.go
+++ b/adapter/record/codec.go
@@ -15,6 +15,8 @@
 const (
 	// formatVersion is the version written into every encoded message.
 	formatVersion = 1
+	// maxEncodedBytes is the largest size of one append before compression.
+	maxEncodedBytes = 16 << 20
 	// maxDecodedBytes is the largest size of one decompressed append, so that a corrupt
 	// entry can't exhaust the memory.
 	maxDecodedBytes = 64 << 20
@@ -39,7 +41,8 @@
 	return &Codec{encoder: encoder, decoder: decoder}
 }
 
-// Encode returns the encoding of the records of one append.
+// Encode returns the encoding of the records of one append. It fails when they are larger
+// than maxEncodedBytes together.
 func (c *Codec) Encode(records []history.Record) ([]byte, error) {
 	batch := &recordpb.Batch{Version: formatVersion}
 	for _, r := range records {
@@ -49,6 +52,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if len(marshaled) > maxEncodedBytes {
+		return nil, trace.LimitExceeded("append of %d bytes exceeds the maximum of %d bytes", len(marshaled), maxEncodedBytes)
+	}
 	return c.encoder.EncodeAll(marshaled, nil), nil
 }
 
--- a/history/committer_test.go
+++ b/history/committer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -364,3 +366,31 @@
 		require.EqualValues(t, 3, c.Stats().Records)
 	})
 }
+
+// TestLargeRecordsCanBeReadBack checks that records that were committed together can be
+// read by other processes, also when they are large.
+func TestLargeRecordsCanBeReadBack(t *testing.T) {
+	withFixture(t, func(t *testing.T, f *fixture) {
+		c := f.startCommitter()
+		key := strings.Repeat("k", 10<<20)
+		const records = 7
+		var commits sync.WaitGroup
+		var ids [records]program.ID
+		for i := range records {
+			config := program.Config{Caller: fmt.Sprint("c", i), Key: key}
+			r := newRecord(program.NewID(config.Caller, key), 0, history.RecordID{}, history.Started(config))
+			ids[i] = r.Program()
+			commits.Go(func() {
+				_, err := c.Commit(f.ctx, r)
+				assert.NoError(t, err)
+			})
+		}
+		commits.Wait()
+		other := f.startCommitter()
+		for _, id := range ids {
+			_, err := other.Load(f.ctx, id)
+			require.NoError(t, err)
+		}
+		require.Zero(t, other.Stats().Corrupt)
+	})
+}
