order: Keep the epoch of a program when one of its orders expires

What callers would see: an order runs twice. A home that was replaced and is cut off sends an order that its successor has already refused as not run; the ledger accepts it, as the fence of the program has gone.

Cause: AttemptRegistry.Forget deleted the highest epoch of the whole program with the first of its attempts to expire, also while later ones were registered.

Test: TestExpiryKeepsProgramFenced failed before with "An error is expected but got nil" for an order of epoch 2 after one of epoch 3.

Fix: Forget leaves the epoch. It is 8 bytes a program until the process restarts, when a new incarnation refuses all earlier claims.

--- a/order/attempts.go
+++ b/order/attempts.go
@@ -43,11 +43,8 @@
 	return true, nil
 }
 
-// Forget removes an attempt, and the highest epoch of its program.
-func (a *AttemptRegistry) Forget(key Key) {
-	delete(a.registered, key)
-	delete(a.highestEpochs, key.Program())
-}
+// Forget removes an attempt. The highest epoch of its program is kept.
+func (a *AttemptRegistry) Forget(key Key) { delete(a.registered, key) }
 
 // Clone returns a copy that shares no state with a.
 func (a *AttemptRegistry) Clone() *AttemptRegistry {
--- a/order/ledger_test.go
+++ b/order/ledger_test.go
@@ -139,3 +139,21 @@
 		require.Zero(t, l.Len())
 	})
 }
+
+// TestExpiryKeepsProgramFenced checks that a replaced home stays fenced when the orders of
+// its successor have expired.
+func TestExpiryKeepsProgramFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, c := order.NewLedger(incarnation), &callCounter{}
+		_, err := l.Run(context.Background(), newRequest(1, 1, 3), c.send)
+		require.NoError(t, err)
+		time.Sleep(2 * order.DefaultRetention)
+		_, err = l.Run(context.Background(), newRequest(2, 1, 3), c.send)
+		require.NoError(t, err)
+		require.Equal(t, 1, l.Expire(time.Now().Add(-order.DefaultRetention)))
+		_, err = l.Run(context.Background(), newRequest(3, 1, 2), c.send)
+		require.Error(t, err)
+		require.Equal(t, order.KindFenced, order.KindOf(err))
+		require.Equal(t, 2, c.calls)
+	})
+}
