order: Never run an expired attempt again

What callers would see: an order whose answer was lost runs a second time. Its program is taken over when the ledger has forgotten the order, 24 hours after its first request; the new home asks for the outcome, gets a proof that it has not run, claims it again and sends it.

Cause: an expired attempt looked like one that had never been received: Run ran it, and Query returned KindNotRun.

Test: TestExpiredAttemptDoesNotRunAgain failed before: "query order: order ...-2 has not run and will not run" for an order that had run, and no error for the attempt sent again and for an earlier one.

Later attempts and orders run as before.

--- a/order/ledger.go
+++ b/order/ledger.go
@@ -77,7 +77,7 @@
 // waits for the outcome; the reply of a repeat is marked as replayed. The error is of
 // KindFenced or KindIncarnationMismatch when the attempt is refused, of KindNotRun when
 // an earlier query has refused it, of KindInDoubt when ctx ends before the call, which
-// continues, and otherwise the error of send.
+// continues, or when the attempt may have expired, and otherwise the error of send.
 func (l *Ledger) Run(ctx context.Context, r Request, send SendFunc) (Reply, error) {
 	e, first, err := l.findOrCreate(r, time.Now())
 	if err != nil {
@@ -91,7 +91,8 @@
 
 // Query waits for the outcome of an attempt that has been received before, and returns it
 // like Run. An attempt that has not been received is refused from now on, and the error is
-// of KindNotRun: even if the attempt arrives later, it does not run.
+// of KindNotRun: even if the attempt arrives later, it does not run. The error is a final one
+// of KindInDoubt when the attempt may have expired.
 func (l *Ledger) Query(ctx context.Context, r Request) (Reply, error) {
 	e, first, err := l.findOrCreate(r, time.Now())
 	if err != nil {
@@ -122,7 +123,7 @@
 }
 
 // Expire deletes the attempts that have ended and were first received before a time, and
-// returns how many these are. An attempt that is repeated after that runs again.
+// returns how many these are. An attempt that is repeated after that is refused as in doubt.
 func (l *Ledger) Expire(before time.Time) int {
 	n := 0
 	for i := range l.shards {
--- a/order/ledger_test.go
+++ b/order/ledger_test.go
@@ -157,3 +157,73 @@
 		require.Equal(t, 2, c.calls)
 	})
 }
+
+// TestExpiredAttemptDoesNotRunAgain checks that expiry of an attempt neither lets it run a
+// second time nor proves that it did not run.
+func TestExpiredAttemptDoesNotRunAgain(t *testing.T) {
+	tests := []struct {
+		name      string
+		step      func(l *order.Ledger, c *callCounter) error
+		wantErr   bool
+		wantKind  order.Kind
+		wantFinal bool
+		wantCalls int
+	}{
+		{
+			name: "it is queried", wantErr: true, wantKind: order.KindInDoubt, wantFinal: true, wantCalls: 1,
+			step: func(l *order.Ledger, _ *callCounter) error {
+				_, err := l.Query(context.Background(), newRequest(2, 2, 4))
+				return err
+			},
+		},
+		{
+			name: "it is sent again", wantErr: true, wantKind: order.KindInDoubt, wantFinal: true, wantCalls: 1,
+			step: func(l *order.Ledger, c *callCounter) error {
+				_, err := l.Run(context.Background(), newRequest(2, 2, 3), c.send)
+				return err
+			},
+		},
+		{
+			name: "an earlier attempt is sent", wantErr: true, wantKind: order.KindInDoubt, wantFinal: true, wantCalls: 1,
+			step: func(l *order.Ledger, c *callCounter) error {
+				_, err := l.Run(context.Background(), newRequest(2, 1, 3), c.send)
+				return err
+			},
+		},
+		{
+			name: "the next attempt is sent", wantCalls: 2,
+			step: func(l *order.Ledger, c *callCounter) error {
+				_, err := l.Run(context.Background(), newRequest(2, 3, 3), c.send)
+				return err
+			},
+		},
+		{
+			name: "the next order is sent", wantCalls: 2,
+			step: func(l *order.Ledger, c *callCounter) error {
+				_, err := l.Run(context.Background(), newRequest(3, 1, 3), c.send)
+				return err
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, c := order.NewLedger(incarnation), &callCounter{}
+				_, err := l.Run(context.Background(), newRequest(2, 2, 3), c.send)
+				require.NoError(t, err)
+				time.Sleep(order.DefaultRetention)
+				require.Equal(t, 1, l.Expire(time.Now().Add(-order.DefaultRetention).Add(time.Second)))
+				err = test.step(l, c)
+				require.Equal(t, test.wantErr, err != nil, "%v", err)
+				if test.wantErr {
+					require.Equal(t, test.wantKind, order.KindOf(err), "%v", err)
+					var orderErr *order.Error
+					require.ErrorAs(t, err, &orderErr)
+					require.Equal(t, test.wantFinal, orderErr.Final())
+				}
+				time.Sleep(time.Minute)
+				require.Equal(t, test.wantCalls, c.calls)
+			})
+		})
+	}
+}
