history: Refute that records after the end of a program are a fault

The finding: chainEnds.accept notes that a program has finished and accepts its records all the same.

Refuted: such records are needed. A call may be running when its program is canceled, and an order among them has had its effect; if its settlement were superseded, its home would drop the program and no other home would know that the order ran. A home that takes over an ended program to repeat the result of the end writes a takeover, and a parent gets the unused budget of its children back after its own end. To refuse some types here would also let processes of two versions disagree on the latest record.

The field finished, which nothing read, is removed.

--- a/history/chain.go
+++ b/history/chain.go
@@ -10,8 +10,6 @@
 	position     Position
 	// epoch is the epoch of the record: how often the program has been taken over.
 	epoch uint64
-	// finished is set once the program has a record of TypeFinished.
-	finished bool
 }
 
 // chainEnds holds the latest valid record of each program of one stream.
@@ -20,7 +18,9 @@
 // accept reports whether a record at a position is valid, and if so makes it the latest
 // record of its program. A record is valid when it names the latest record as its
 // previous one and carries the same epoch, or the next epoch when it is of TypeAdopted. A
-// repeat of the latest record is valid too and changes nothing.
+// repeat of the latest record is valid too and changes nothing. Records after the end of a
+// program are valid as others are: the answer to a call that was running, a takeover, and
+// what its children return come then.
 func (ends chainEnds) accept(r Record, at Position) bool {
 	end, ok := ends[r.Program()]
 	if !ok {
@@ -41,7 +41,7 @@
 	case recordType != TypeAdopted && r.Epoch() != end.epoch:
 		return false
 	}
-	ends[r.Program()] = chainEnd{lastRecordID: r.ID(), position: at, epoch: r.Epoch(), finished: end.finished || recordType == TypeFinished}
+	ends[r.Program()] = chainEnd{lastRecordID: r.ID(), position: at, epoch: r.Epoch()}
 	return true
 }
 
