home: Claim no order of a program that has ended

What callers saw: a program that is canceled while an order looks for its service gets a claim of that order after its end, and the caller of the order is told that it is in doubt, though it was never sent. With the claim committed by the time the home looks, the order could even be sent after the cancellation.

Cause: claimOrder took the lock again without a look at the state of the program, and refuseOrder waited for its proof in the canceled context of the call.

Test: TestOrderIsNotClaimedAfterTheEnd failed before: kind 0xc (unavailable) in place of 0x7 (ended), "claim order: wait for record: context canceled", outcome in doubt.

Fix: claimOrder refuses under the lock with KindEnded, and the wait for the record that proves it, at most refusalCommitTimeout, goes on after a cancellation.

--- a/home/cluster_test.go
+++ b/home/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -277,6 +278,8 @@
 	refusing bool
 	// ledgerGone makes Query answer that the instance no longer exists.
 	ledgerGone bool
+	// onLocate, when set, is called by Locate.
+	onLocate func()
 	// callDuration is the time between the effect of an order and its answer.
 	callDuration time.Duration
 }
@@ -303,6 +306,9 @@
 func (s *fakeService) Locate(string) (string, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.onLocate != nil {
+		s.onLocate()
+	}
 	if s.unreachable {
 		return "", 0, order.Errorf("locate", order.KindNotRun, "unreachable")
 	}
@@ -360,3 +366,19 @@
 	}
 	return len(tc.service.effectsByOrder)
 }
+
+// recordTypes returns the types of all records in the log, in order.
+func (tc *testCluster) recordTypes() []history.RecordType {
+	tc.t.Helper()
+	page, err := tc.log.Read(context.Background(), "p-0", 0, math.MaxInt)
+	require.NoError(tc.t, err)
+	var types []history.RecordType
+	for _, e := range page.Entries() {
+		records, err := record.NewCodec().Decode(e.Data())
+		require.NoError(tc.t, err)
+		for _, r := range records {
+			types = append(types, r.Body().Type())
+		}
+	}
+	return types
+}
--- a/home/fault_test.go
+++ b/home/fault_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -394,3 +395,21 @@
 		})
 	}
 }
+
+// TestOrderIsNotClaimedAfterTheEnd checks that an order whose program is canceled while the
+// service is located is neither claimed nor sent, and that its caller is told so.
+func TestOrderIsNotClaimedAfterTheEnd(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+		h, _ := tc.addHome("model-1")
+		handle := tc.startUrgent(h, "k")
+		tc.service.onLocate = func() {
+			_, err := h.End(context.Background(), handle, true)
+			require.NoError(t, err)
+		}
+		_, _, err := call(h, handle, tc.orderCall(1))
+		require.Equal(t, program.KindEnded, program.KindOf(err), "%v", err)
+		require.Equal(t, program.NotRun, program.AsError(err).Outcome())
+		require.Zero(t, tc.requireAtMostOneEffect())
+		require.NotContains(t, tc.recordTypes(), history.TypeClaimed)
+	})
+}
--- a/home/order.go
+++ b/home/order.go
@@ -71,11 +71,17 @@
 }
 
 // claimOrder writes the claim of an order and waits until it is in the journal.
-// Without the claim another home could not know that the order may have run.
+// Without the claim another home could not know that the order may have run. It
+// returns an error of program.KindEnded when the program has ended since the
+// call began.
 func (x *execution) claimOrder(ctx context.Context, instance string, incarnation uint64) (*program.Claim, error) {
 	r := x.resident
 	call := x.reservation.Call()
 	r.shard.mu.Lock()
+	if state := r.program.State(); state != program.Active {
+		r.shard.mu.Unlock()
+		return nil, program.Errorf("claim order", program.KindEnded, "program is %s", state)
+	}
 	claim := program.NewClaim(program.ClaimConfig{
 		Number: call.Number(), Fingerprint: call.Fingerprint(), Instance: instance,
 		Incarnation: incarnation, Attempt: r.program.ClaimAttempts() + 1,
@@ -96,14 +102,15 @@
 // refuseOrder ends an order that was not sent or did not run and returns the
 // error for the caller. The outcome is NotRun only when the journal proves that
 // this home still owned the program: a home that was replaced can't know
-// whether the order ran at its successor.
+// whether the order ran at its successor. The wait for that proof goes on when
+// the call is canceled.
 func (x *execution) refuseOrder(ctx context.Context, err error) error {
 	pending, held := x.releaseClaim()
 	refusal := program.AsError(err)
 	if !held {
 		return movedError(refusal.Op(), x.resident.program.ID())
 	}
-	if pending.wait(ctx, refusalCommitTimeout) == nil {
+	if pending.wait(context.WithoutCancel(ctx), refusalCommitTimeout) == nil {
 		return refusal
 	}
 	return program.NewError(program.ErrorConfig{
