home: Report no crash for a request that the engine did not get

What callers would see: an engine restarts while callers send calls again with the text that they have. Each refused connection is reported as a crash of the request; after two of them the request is quarantined at all homes, and the program can't go on.

Cause: failModel took the case "not run" for calls without text only. With received text it went on to the report, as for an answer that broke off.

Test: TestRefusedRequestWithReceivedTextIsNotSuspect failed before for "refused connection": one request on the list in place of none.

Fix: a crash is reported only when the outcome at the engine is not NotRun. A connection that is lost after the request was sent is reported as before (third case of the test). The caller still gets an outcome in doubt, since another home generated the text.

Same class (an innocent request counted) looked for in gateway (recordCrashIfDown follows a request that was sent, and probes the endpoint first) and quarantine.List. Seen and not mended: the same call is charged its whole prompt for each refused connection, and an error status of an engine that is still up counts as a crash at a home, as nothing probes it there.

--- a/home/crash_test.go
+++ b/home/crash_test.go
@@ -69,3 +69,38 @@
 		tc.requireCall(a, handle, tc.modelCall(1, "another request"))
 	})
 }
+
+// A request that its engine never got can't have crashed it, also when it is to continue
+// text from another home.
+func TestRefusedRequestWithReceivedTextIsNotSuspect(t *testing.T) {
+	tests := []struct {
+		name string
+		// kind and outcome are those of the engine's error.
+		kind    program.Kind
+		outcome program.Outcome
+		// wantReports is the number of requests on the list after one failure.
+		wantReports int
+	}{
+		{name: "refused connection", kind: program.KindUnavailable, outcome: program.NotRun},
+		{name: "overloaded engine", kind: program.KindOverloaded, outcome: program.NotRun},
+		{name: "lost connection", kind: program.KindUnavailable, outcome: program.InDoubt, wantReports: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+				tc.crashes = quarantine.NewList()
+				h, e := tc.addHome("model-1")
+				handle := tc.startUrgent(h, "k")
+				e.setFailure(program.NewError(program.ErrorConfig{Op: "engine", Kind: test.kind, Outcome: test.outcome, Err: errAnswerLost}))
+				c, err := program.NewCall(program.CallConfig{
+					Number: 1, MaxTokens: 5, Messages: []program.Message{program.NewMessage(program.RoleUser, "one")}, ReceivedText: "w00 w01 ",
+				})
+				require.NoError(t, err)
+				_, _, err = call(h, handle, c)
+				require.Equal(t, test.kind, program.KindOf(err))
+				require.Equal(t, program.InDoubt, program.AsError(err).Outcome(), "another home generated the text")
+				require.Equal(t, test.wantReports, tc.crashes.Len())
+			})
+		})
+	}
+}
--- a/home/model.go
+++ b/home/model.go
@@ -164,8 +164,8 @@
 
 // failModel ends the call after an error of the engine, charges what the engine
 // may have processed and returns the error for the caller. An error of
-// program.KindUnavailable is reported as a crash, unless the engine did no work
-// and the call has no text yet.
+// program.KindUnavailable is reported as a crash, unless the engine did not get
+// the request.
 func (x *execution) failModel(err error) error {
 	e := program.AsError(err)
 	if e.Outcome() == program.NotRun && x.transcript.generatedTokens() == 0 {
@@ -173,7 +173,7 @@
 		return e
 	}
 	retry := unavailableRetryDelay
-	if e.Kind() == program.KindUnavailable {
+	if e.Kind() == program.KindUnavailable && e.Outcome() != program.NotRun {
 		retry = crashRetryDelay
 		x.reportCrash()
 	}
