home: Serve a program only once its takeover is committed

Concurrent requests did not wait even once.

Cause: commitTakeover put the program into memory before it waited, left it there when the wait ended, and findOrTakeOver took a program in memory for one that is owned.

Test: TestUncommittedTakeoverRunsNothing failed before: the second call to a home whose takeover record is held back was answered (0x0, expected 0xc, unavailable).

Fix: the program keeps the record of its takeover, and every request waits for it, up to startCommitTimeout, before it gets the program. The commit goes on: when it succeeds, the next request is served without another takeover, and when another home was first, the program is dropped and the caller gets KindMoved, as the test shows for both.

Same class (used before it is confirmed) looked for in home: Start goes on without its first record on purpose, since the handle carries it; rebased turns are carried too; claims wait. Seen and not mended: Read, Start of an existing program and the result of End don't look whether the program was lost while they waited.

--- a/home/cluster_test.go
+++ b/home/cluster_test.go
@@ -38,6 +38,24 @@
 	// crashes is nil unless the test needs quarantine; it is set before
 	// addHome.
 	crashes *quarantine.List
+	// wrapJournal, when set before addHome, returns the journal that a home uses
+	// in place of its committer.
+	wrapJournal func(j home.Journal) home.Journal
+}
+
+// heldJournal commits records only after release is closed.
+type heldJournal struct {
+	home.Journal
+	release chan struct{}
+}
+
+func (j *heldJournal) Commit(ctx context.Context, r history.Record) (history.Position, error) {
+	select {
+	case <-j.release:
+		return j.Journal.Commit(ctx, r)
+	case <-ctx.Done():
+		return history.NoPosition, history.Errorf("commit", history.KindUnknown, "%w", ctx.Err())
+	}
 }
 
 // sharedCrashes is a CrashTracker that applies events to a list shared by all
@@ -94,6 +112,9 @@
 	if tc.crashes != nil {
 		c.Crashes = &sharedCrashes{list: tc.crashes}
 	}
+	if tc.wrapJournal != nil {
+		c.Journal = tc.wrapJournal(c.Journal)
+	}
 	h := home.New(c)
 	tc.homes = append(tc.homes, h)
 	return h, e
--- a/home/fault_test.go
+++ b/home/fault_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavendervale/lavendervale/history"
+	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -413,3 +414,54 @@
 		require.NotContains(t, tc.recordTypes(), history.TypeClaimed)
 	})
 }
+
+// TestUncommittedTakeoverRunsNothing checks that a home whose takeover is not committed yet
+// runs no call of the program, since another home may have taken over first.
+func TestUncommittedTakeoverRunsNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		// overtaken is set when another home takes over before the commit.
+		overtaken bool
+		wantKind  program.Kind
+		wantErr   bool
+	}{
+		{name: "committed late"},
+		{name: "another home takes over first", overtaken: true, wantErr: true, wantKind: program.KindMoved},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+				a, _ := tc.addHome("model-1")
+				handle := tc.requireCall(a, tc.startUrgent(a, "k"), tc.modelCall(1, "one"))
+				held := &heldJournal{release: make(chan struct{})}
+				tc.wrapJournal = func(j home.Journal) home.Journal { held.Journal = j; return held }
+				b, eb := tc.addHome("model-2")
+				tc.wrapJournal = nil
+				for range 2 {
+					_, _, err := call(b, handle, tc.modelCall(2, "two"))
+					require.Equal(t, program.KindUnavailable, program.KindOf(err), "%v", err)
+				}
+				_, err := b.Read(context.Background(), handle)
+				require.Equal(t, program.KindUnavailable, program.KindOf(err), "%v", err)
+				require.Zero(t, eb.promptCount())
+				if test.overtaken {
+					c, _ := tc.addHome("model-3")
+					tc.requireCall(c, handle, tc.modelCall(2, "two"))
+				}
+				done := make(chan error, 1)
+				go func() {
+					_, _, err := call(b, handle, tc.modelCall(2, "two"))
+					done <- err
+				}()
+				synctest.Wait()
+				close(held.release)
+				err = <-done
+				require.Equal(t, test.wantErr, err != nil, "%v", err)
+				if test.wantErr {
+					require.Equal(t, test.wantKind, program.KindOf(err), "%v", err)
+					require.Zero(t, eb.promptCount())
+				}
+			})
+		})
+	}
+}
--- a/home/journal.go
+++ b/home/journal.go
@@ -95,6 +95,16 @@
 	h.metrics.lost.Add(1)
 }
 
+// committed reports whether the record is in the journal.
+func (r *pendingRecord) committed() bool {
+	select {
+	case <-r.done:
+		return r.err == nil
+	default:
+		return false
+	}
+}
+
 // wait blocks until the record is committed or has failed. When the timeout
 // expires or ctx ends first, it returns an error of history.KindUnavailable and
 // the commit continues.
--- a/home/resident.go
+++ b/home/resident.go
@@ -24,11 +24,15 @@
 }
 
 // residentProgram is a program that this home owns and has in memory. The lock
-// of its shard guards all fields but shard and class, which do not change.
+// of its shard guards all fields but shard, class and takeover, which do not
+// change once the program is in its shard.
 type residentProgram struct {
 	shard   *shard
 	program *program.Program
 	class   *class.Class
+	// takeover is the record by which this home took the program over, nil when
+	// the program was started here.
+	takeover *pendingRecord
 	// lastRecordID is the ID of the latest record, committed or not.
 	lastRecordID history.RecordID
 	// lastPosition is the position of the latest committed record,
--- a/home/takeover.go
+++ b/home/takeover.go
@@ -11,10 +11,10 @@
 )
 
 // findOrTakeOver returns the program of a handle from memory, or takes it over
-// when it is not there.
+// when it is not there. It fails while a takeover is not committed.
 func (h *Home) findOrTakeOver(ctx context.Context, handle program.Handle) (*residentProgram, error) {
 	if r := h.lookup(handle.Program()); r != nil {
-		return r, nil
+		return r, r.waitForTakeover(ctx)
 	}
 	return h.takeOver(ctx, handle)
 }
@@ -45,14 +45,15 @@
 
 // commitTakeover puts a loaded program into memory under the next epoch, queues
 // the carried records and the takeover record, and waits for the latter. It
-// fails when the wait does, because another home may have taken over first.
+// fails when the wait does, because another home may have taken over first; the
+// commit continues, and later requests wait for it too.
 func (h *Home) commitTakeover(ctx context.Context, state *takeoverState) (*residentProgram, error) {
 	p := state.program
 	s := h.shard(p.ID())
 	s.mu.Lock()
 	if r, ok := s.residents[p.ID()]; ok {
 		s.mu.Unlock()
-		return r, nil
+		return r, r.waitForTakeover(ctx)
 	}
 	r := newResident(s, p, h.classOrFallback(p.Class()))
 	r.lastPosition = state.lastPosition
@@ -63,17 +64,29 @@
 	r.lastRecordID = state.lastRecordID
 	p.TakeOver(p.Epoch() + 1)
 	h.scheduler.registerProgram(p, r.class)
-	pending := h.appendRecordLocked(r, p.Epoch(), history.Adopted())
+	r.takeover = h.appendRecordLocked(r, p.Epoch(), history.Adopted())
 	s.residents[p.ID()] = r
 	s.mu.Unlock()
-	if err := pending.wait(ctx, startCommitTimeout); err != nil {
-		return nil, loadError("take over program", err)
+	if err := r.waitForTakeover(ctx); err != nil {
+		return nil, err
 	}
 	h.metrics.adopted.Add(1)
 	h.config.Logger.Info("program taken over", zap.Stringer("program", p.ID()), zap.Uint64("epoch", p.Epoch()), zap.String("from", state.lastHome))
 	return r, nil
 }
 
+// waitForTakeover waits up to startCommitTimeout for the record of the takeover
+// that brought the program here. It returns at once when there was none.
+func (r *residentProgram) waitForTakeover(ctx context.Context) error {
+	if r.takeover == nil || r.takeover.committed() {
+		return nil
+	}
+	if err := r.takeover.wait(ctx, startCommitTimeout); err != nil {
+		return loadError("take over program", err)
+	}
+	return nil
+}
+
 // takeoverState is the state of a program that this home is about to take over.
 type takeoverState struct {
 	// program is nil while neither the journal nor a carried record has given
