home: Read the program of an ended call under its lock

What operators would see: at worst a log line with the epoch of a state that is being replaced; by the memory model any value.

Cause: residentProgram.program is replaced when turns are applied from a handle, which happens as soon as no call runs. recordOutcome, and the errors for a program that was lost, read the pointer after the call had ended, without the lock of the shard.

Test: TestTurnIsAppliedWhileAnAnswerIsLogged, with the race detector, failed before with "WARNING: DATA RACE": write in verifyOrRebaseLocked, previous read in recordOutcome.

Fix: the id, which never changes, is a field of its own that needs no lock; recordOutcome takes the lock for the epoch.

Same class (state read without its lock) looked for in all uses of r.program in home (the others hold the lock), home/scheduler.go, home/transcript.go, history/stream.go and order/ledger.go: none further found; the tests of home pass under the race detector.

--- a/home/cluster_test.go
+++ b/home/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
 	"github.com/lavendervale/lavendervale/class"
@@ -41,6 +42,8 @@
 	// wrapJournal, when set before addHome, returns the journal that a home uses
 	// in place of its committer.
 	wrapJournal func(j home.Journal) home.Journal
+	// logger is that of the next homes, nil for none.
+	logger *zap.Logger
 }
 
 // heldJournal commits records only after release is closed.
@@ -107,7 +110,7 @@
 	e := &fakeEngine{releasesByProgram: map[program.ID]int{}}
 	c := home.Config{
 		Name: name, Incarnation: uint64(len(tc.homes) + 1), Engine: e, Journal: committer, Codec: record.NewCodec(), Services: tc.service,
-		Configurations: tc.store, Slots: 2,
+		Configurations: tc.store, Slots: 2, Logger: tc.logger,
 	}
 	if tc.crashes != nil {
 		c.Crashes = &sharedCrashes{list: tc.crashes}
--- a/home/end.go
+++ b/home/end.go
@@ -111,7 +111,7 @@
 // countEnd updates the scheduler's estimates and the metrics after the end of a
 // program.
 func (h *Home) countEnd(r *residentProgram, state program.State) {
-	h.scheduler.endProgram(r.program.ID(), state == program.Finished)
+	h.scheduler.endProgram(r.id, state == program.Finished)
 	if state == program.Canceled {
 		h.metrics.canceled.Add(1)
 		return
--- a/home/execution.go
+++ b/home/execution.go
@@ -57,9 +57,12 @@
 // recordOutcome logs how the call ended and updates the metrics.
 func (x *execution) recordOutcome(err error) {
 	call := x.reservation.Call()
+	x.resident.shard.mu.Lock()
+	epoch := x.resident.program.Epoch()
+	x.resident.shard.mu.Unlock()
 	fields := []zap.Field{
-		zap.Stringer("program", x.resident.program.ID()), zap.Uint32("call", call.Number()),
-		zap.Uint64("epoch", x.resident.program.Epoch()), zap.Stringer("work", call.Type()), zap.String("endpoint", x.home.config.Name),
+		zap.Stringer("program", x.resident.id), zap.Uint32("call", call.Number()),
+		zap.Uint64("epoch", epoch), zap.Stringer("work", call.Type()), zap.String("endpoint", x.home.config.Name),
 		zap.Duration("queue", x.queueTime), zap.Duration("total", time.Since(x.arrivedAt)),
 	}
 	if err != nil {
@@ -79,7 +82,7 @@
 	r.shard.mu.Lock()
 	if r.lost {
 		r.shard.mu.Unlock()
-		return CallResult{}, movedError("complete call", r.program.ID())
+		return CallResult{}, movedError("complete call", r.id)
 	}
 	if err := r.program.Complete(a); err != nil {
 		r.shard.mu.Unlock()
@@ -89,13 +92,13 @@
 	r.shard.mu.Unlock()
 	err := pending.wait(ctx, turnCommitTimeout)
 	if err != nil && history.KindOf(err) == history.KindSuperseded {
-		return CallResult{}, movedError("complete call", r.program.ID())
+		return CallResult{}, movedError("complete call", r.id)
 	}
 	r.shard.mu.Lock()
 	defer r.shard.mu.Unlock()
 	if r.lost {
 		// Neither the journal nor the handle would hold the answer.
-		return CallResult{}, movedError("complete call", r.program.ID())
+		return CallResult{}, movedError("complete call", r.id)
 	}
 	budget := r.program.Budget()
 	return NewCallResult(x.home.handleLocked(r), a, budget.Left(), false), nil
--- a/home/fault_test.go
+++ b/home/fault_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
@@ -465,3 +468,37 @@
 		})
 	}
 }
+
+// TestTurnIsAppliedWhileAnAnswerIsLogged applies a turn from a handle, which replaces the
+// state of the program in memory, between the end of a call and its log line. The race
+// detector sees a read of the state without its lock.
+func TestTurnIsAppliedWhileAnAnswerIsLogged(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+		tc.wrapJournal = func(j home.Journal) home.Journal {
+			return &heldJournal{Journal: j, release: make(chan struct{})}
+		}
+		a, _ := tc.addHome("model-1")
+		started := tc.startUrgent(a, "k")
+		ahead := tc.requireCall(a, started, tc.modelCall(1, "one"))
+		ahead = tc.requireCall(a, ahead, tc.modelCall(2, "two"))
+		tc.wrapJournal = nil
+		const logDuration = time.Second
+		tc.logger = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.DebugLevel), zap.Hooks(func(e zapcore.Entry) error {
+			if e.Message == "call answered" {
+				time.Sleep(logDuration)
+			}
+			return nil
+		}))
+		b, _ := tc.addHome("model-2")
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := call(b, started, tc.modelCall(1, "one"))
+			done <- err
+		}()
+		time.Sleep(logDuration / 2)
+		v, err := b.Read(context.Background(), ahead)
+		require.NoError(t, err)
+		require.EqualValues(t, 3, v.Next(), "the turn of the handle is applied")
+		require.NoError(t, <-done)
+	})
+}
--- a/home/home.go
+++ b/home/home.go
@@ -186,9 +186,9 @@
 		}
 		busy := r.program.HasRunningCall() || len(r.pendingRecords) > 0
 		if !busy && idle {
-			delete(r.shard.residents, r.program.ID())
+			delete(r.shard.residents, r.id)
 			r.notifyLocked()
-			h.scheduler.endProgram(r.program.ID(), false)
+			h.scheduler.endProgram(r.id, false)
 		}
 	})
 }
--- a/home/journal.go
+++ b/home/journal.go
@@ -14,7 +14,7 @@
 // journal.
 func (h *Home) appendRecordLocked(r *residentProgram, epoch uint64, body history.Body) *pendingRecord {
 	record := history.NewRecord(history.RecordConfig{
-		ID: history.NewRecordID(), Program: r.program.ID(), Epoch: epoch, Previous: r.lastRecordID,
+		ID: history.NewRecordID(), Program: r.id, Epoch: epoch, Previous: r.lastRecordID,
 		PreviousPosition: r.lastPosition, Home: h.config.Name, Time: time.Now(), Body: body,
 	})
 	r.lastRecordID = record.ID()
@@ -86,10 +86,10 @@
 	if r.cancelCall != nil {
 		r.cancelCall()
 	}
-	if r.shard.residents[r.program.ID()] == r {
-		delete(r.shard.residents, r.program.ID())
-		h.scheduler.endProgram(r.program.ID(), false)
-		h.releaseCache(r.program.ID())
+	if r.shard.residents[r.id] == r {
+		delete(r.shard.residents, r.id)
+		h.scheduler.endProgram(r.id, false)
+		h.releaseCache(r.id)
 	}
 	r.notifyLocked()
 	h.metrics.lost.Add(1)
--- a/home/model.go
+++ b/home/model.go
@@ -15,10 +15,10 @@
 // runModel runs a model call on the engine. When urgent calls need its slot,
 // the call stops, queues again and continues from the text generated so far.
 func (x *execution) runModel(ctx context.Context) (CallResult, error) {
-	w := x.home.scheduler.enqueue(x.resident.program.ID(), x.scheduleCall())
+	w := x.home.scheduler.enqueue(x.resident.id, x.scheduleCall())
 	if w == nil {
 		x.abort(0)
-		return CallResult{}, movedError("queue call", x.resident.program.ID())
+		return CallResult{}, movedError("queue call", x.resident.id)
 	}
 	for {
 		if err := x.home.scheduler.waitForSlot(ctx, w); err != nil {
@@ -204,7 +204,7 @@
 	messages = append(messages, previous...)
 	messages = append(messages, call.Messages()...)
 	return NewPrompt(PromptConfig{
-		Program: r.program.ID(), Model: r.class.Model(), Messages: messages, MaxTokens: x.remainingTokens(), Rank: priority,
+		Program: r.id, Model: r.class.Model(), Messages: messages, MaxTokens: x.remainingTokens(), Rank: priority,
 		ResumeFrom: x.transcript.String(),
 	})
 }
--- a/home/order.go
+++ b/home/order.go
@@ -94,7 +94,7 @@
 		return claim, nil
 	}
 	if history.KindOf(err) == history.KindSuperseded {
-		return nil, movedError("claim order", r.program.ID())
+		return nil, movedError("claim order", r.id)
 	}
 	return nil, unavailableError("claim order", program.NotRun, err)
 }
@@ -108,7 +108,7 @@
 	pending, held := x.releaseClaim()
 	refusal := program.AsError(err)
 	if !held {
-		return movedError(refusal.Op(), x.resident.program.ID())
+		return movedError(refusal.Op(), x.resident.id)
 	}
 	if pending.wait(context.WithoutCancel(ctx), refusalCommitTimeout) == nil {
 		return refusal
@@ -194,7 +194,7 @@
 		return CallResult{}, err
 	}
 	x.home.metrics.inDoubt.Add(1)
-	x.home.config.Logger.Error("order in doubt", zap.Stringer("program", x.resident.program.ID()), zap.Uint32("call", claim.Number()), zap.Error(err))
+	x.home.config.Logger.Error("order in doubt", zap.Stringer("program", x.resident.id), zap.Uint32("call", claim.Number()), zap.Error(err))
 	return CallResult{}, orderInDoubtError(claim.Number())
 }
 
@@ -234,7 +234,7 @@
 	r.shard.mu.Lock()
 	defer r.shard.mu.Unlock()
 	return order.NewRequest(order.RequestConfig{
-		Key: order.NewKey(r.program.ID(), call.Number(), attempt), Epoch: r.program.Epoch(),
+		Key: order.NewKey(r.id, call.Number(), attempt), Epoch: r.program.Epoch(),
 		Incarnation: incarnation, Idempotent: call.Type() == program.IdempotentCall,
 		Rank: r.class.Rank(), Deadline: r.program.StartedAt().Add(r.class.Target()),
 		Service: call.Service(), Method: call.Method(), Payload: call.Payload(),
--- a/home/resident.go
+++ b/home/resident.go
@@ -24,12 +24,14 @@
 }
 
 // residentProgram is a program that this home owns and has in memory. The lock
-// of its shard guards all fields but shard, class and takeover, which do not
-// change once the program is in its shard.
+// of its shard guards all fields but shard, id, class and takeover, which do
+// not change once the program is in its shard.
 type residentProgram struct {
-	shard   *shard
+	shard *shard
+	id    program.ID
+	class *class.Class
+	// program is replaced when turns are applied from a handle.
 	program *program.Program
-	class   *class.Class
 	// takeover is the record by which this home took the program over, nil when
 	// the program was started here.
 	takeover *pendingRecord
@@ -73,7 +75,7 @@
 // newResident returns a program in memory without a committed record.
 func newResident(s *shard, p *program.Program, c *class.Class) *residentProgram {
 	return &residentProgram{
-		shard: s, program: p, class: c, lastPosition: history.NoPosition, changed: make(chan struct{}), lastUsedAt: time.Now(),
+		shard: s, id: p.ID(), class: c, program: p, lastPosition: history.NoPosition, changed: make(chan struct{}), lastUsedAt: time.Now(),
 		snapshotAt: time.Now(), snapshotTurn: p.Turn(),
 	}
 }
--- a/home/start.go
+++ b/home/start.go
@@ -171,7 +171,7 @@
 	}
 	data, err := h.config.Codec.Encode(records)
 	if err != nil {
-		h.config.Logger.Error("can't encode the uncommitted records for the handle", zap.Stringer("program", r.program.ID()), zap.Error(err))
+		h.config.Logger.Error("can't encode the uncommitted records for the handle", zap.Stringer("program", r.id), zap.Error(err))
 		return handle
 	}
 	h.metrics.carried.Add(1)
