peer: Send errors with the kind of the request's own package

What callers saw: while the log can't be read, a home answers a takeover with program.KindUnavailable and the cause; the entry reads program.KindNotFound, and the caller is told that its program does not exist. A takeover that another home won came as "invalid", where the entry would have gone on to the owner, and an order that was refused as not run or overloaded came as invalid and in doubt, without its retry delay.

Cause: faultFor looked for any history.Error, then any order.Error in the chain of causes. It sent their number, which the client reads as a program.Kind, and dropped the outcome. An error of package program from a service was read as an order.Kind: KindInvalid as KindNotRun, a proof that nothing ran.

Fix: the request decides: service calls send an order.Kind, commits and look-ups of records a history.Kind, all others a program.Kind. An error of another package becomes the kind that claims nothing: in doubt, unknown, internal and in doubt.

Same class (a number read by another table) looked for in adapter/mesh (turn.KindOf on one side, turn.Kind on the other), adapter/caller (by name, from program errors) and home/errors.go (by name): none found.

--- a/adapter/peer/committer.go
+++ b/adapter/peer/committer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
 	"github.com/lavendervale/lavendervale/history"
@@ -110,3 +111,13 @@
 	}
 	return &peerpb.Reply{Body: &peerpb.Reply_Place{Place: &peerpb.Place{Position: int64(latest.Position()), Record: latest.ID().Bytes()}}}, nil
 }
+
+// faultFromHistoryError converts an error to a Fault. An error of another type than
+// *history.Error becomes one of history.KindUnknown.
+func faultFromHistoryError(err error) *peerpb.Fault {
+	var historyErr *history.Error
+	if !errors.As(err, &historyErr) {
+		historyErr = history.Errorf("handle record", history.KindUnknown, "%w", err)
+	}
+	return &peerpb.Fault{Kind: uint32(historyErr.Kind()), Operation: historyErr.Op(), Message: historyErr.Error()}
+}
--- a/adapter/peer/convert_service.go
+++ b/adapter/peer/convert_service.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"time"
 
 	pb "github.com/lavendervale/lavendervale/api/lavendervale/v1"
@@ -38,6 +39,16 @@
 	}), nil
 }
 
+// faultFromServiceError converts an error to a Fault. An error of another type than
+// *order.Error becomes one of order.KindInDoubt.
+func faultFromServiceError(err error) *peerpb.Fault {
+	var orderErr *order.Error
+	if !errors.As(err, &orderErr) {
+		orderErr = order.Errorf("handle service call", order.KindInDoubt, "%w", err)
+	}
+	return &peerpb.Fault{Kind: uint32(orderErr.Kind()), Operation: orderErr.Op(), Message: orderErr.Message(), Final: orderErr.Final()}
+}
+
 // serviceErrorFromFault returns the *order.Error that the process beside the service
 // reported. A final fault becomes one whose Final method returns true.
 func serviceErrorFromFault(fault *peerpb.Fault) error {
--- /dev/null
+++ b/adapter/peer/peer_test.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavendervale/lavendervale/history"
+	"github.com/lavendervale/lavendervale/home"
+	"github.com/lavendervale/lavendervale/membership"
+	"github.com/lavendervale/lavendervale/order"
+	"github.com/lavendervale/lavendervale/program"
+)
+
+// fakeProcess is the Home, ServiceRunner, HeartbeatHandler and Committer of a server; each
+// request fails with err.
+type fakeProcess struct {
+	err error
+	// requestCount is the number of requests of any kind.
+	requestCount int
+}
+
+func (p *fakeProcess) fail() error {
+	p.requestCount++
+	return p.err
+}
+
+func (p *fakeProcess) Start(context.Context, home.StartRequest) (home.StartResult, error) {
+	return home.StartResult{}, p.fail()
+}
+
+func (p *fakeProcess) Call(context.Context, program.Handle, program.Call, home.Sink) (home.CallResult, error) {
+	return home.CallResult{}, p.fail()
+}
+
+func (p *fakeProcess) End(context.Context, program.Handle, bool) (home.EndResult, error) {
+	return home.EndResult{}, p.fail()
+}
+
+func (p *fakeProcess) Read(context.Context, program.Handle) (home.View, error) {
+	return home.View{}, p.fail()
+}
+
+func (p *fakeProcess) Transfer(context.Context, home.BudgetTransfer) (int64, error) {
+	return 0, p.fail()
+}
+
+func (p *fakeProcess) Run(context.Context, order.Request) (order.Reply, error) {
+	return order.Reply{}, p.fail()
+}
+
+func (p *fakeProcess) Query(context.Context, order.Request) (order.Reply, error) {
+	return order.Reply{}, p.fail()
+}
+
+func (p *fakeProcess) Beat(string, membership.Heartbeat) membership.HeartbeatReply {
+	return membership.NewHeartbeatReply(membership.HeartbeatReplyConfig{})
+}
+
+func (p *fakeProcess) Commit(context.Context, history.Record) (history.Position, error) {
+	return history.NoPosition, p.fail()
+}
+
+func (p *fakeProcess) Locate(context.Context, program.ID) (history.LatestRecord, error) {
+	return history.LatestRecord{}, p.fail()
+}
+
+// fakeDirectory knows every instance, at an address equal to its name.
+type fakeDirectory struct{}
+
+func (fakeDirectory) Address(instance string) (string, bool) { return instance, true }
+
+func (fakeDirectory) Services(string) []string { return []string{"payment-1"} }
+
+// newPool returns a pool whose connections are served by serve.
+func newPool(t *testing.T, serve func(conn net.Conn)) *Pool {
+	t.Helper()
+	p := NewPool(PoolConfig{InstanceName: "entry-1", Dial: func(context.Context, string) (net.Conn, error) {
+		clientConn, serverConn := net.Pipe()
+		go serve(serverConn)
+		return clientConn, nil
+	}})
+	t.Cleanup(p.Close)
+	return p
+}
+
+// newServedPool returns a pool that is connected to a server of a process.
+func newServedPool(t *testing.T, process *fakeProcess) *Pool {
+	t.Helper()
+	s := NewServer(ServerConfig{Home: process, ServiceRunner: process, HeartbeatHandler: process, Committer: process})
+	return newPool(t, func(conn net.Conn) { s.serveConn(context.Background(), conn) })
+}
+
+func newServiceRequest(payload string) order.Request {
+	return order.NewRequest(order.RequestConfig{
+		Key: order.NewKey(program.NewID("c", "k"), 1, 1), Service: "payment", Method: "pay", Payload: []byte(payload),
+	})
+}
+
+// TestErrorsKeepTheirKind checks that an error reaches the other process with the kind of
+// the package that the request belongs to, whatever errors it wraps.
+func TestErrorsKeepTheirKind(t *testing.T) {
+	historyErr := history.Errorf("read log", history.KindUnavailable, "no answer")
+	orderErr := order.Errorf("run order", order.KindNotRun, "no connection")
+	programErr := program.Errorf("check service", program.KindInvalid, "unknown service")
+	tests := []struct {
+		name        string
+		err         error
+		wantKind    program.Kind
+		wantOutcome program.Outcome
+		wantOrder   order.Kind
+		wantHistory history.Kind
+	}{
+		{name: "error of package program", err: programErr, wantKind: program.KindInvalid, wantOutcome: program.NotRun, wantOrder: order.KindInDoubt, wantHistory: history.KindUnknown},
+		{name: "error of package order", err: orderErr, wantKind: program.KindInternal, wantOutcome: program.InDoubt, wantOrder: order.KindNotRun, wantHistory: history.KindUnknown},
+		{name: "error of package history", err: historyErr, wantKind: program.KindInternal, wantOutcome: program.InDoubt, wantOrder: order.KindInDoubt, wantHistory: history.KindUnavailable},
+		{name: "another error", err: errors.New("failure"), wantKind: program.KindInternal, wantOutcome: program.InDoubt, wantOrder: order.KindInDoubt, wantHistory: history.KindUnknown},
+		{
+			name: "error of package program that wraps one of package history", wantKind: program.KindUnavailable, wantOutcome: program.InDoubt, wantOrder: order.KindInDoubt, wantHistory: history.KindUnavailable,
+			err: program.NewError(program.ErrorConfig{Op: "take over program", Kind: program.KindUnavailable, Err: historyErr}),
+		},
+		{
+			name: "error of package program that wraps one of package order", wantKind: program.KindOverloaded, wantOutcome: program.NotRun, wantOrder: order.KindNotRun, wantHistory: history.KindUnknown,
+			err: program.NewError(program.ErrorConfig{Op: "run service call", Kind: program.KindOverloaded, Outcome: program.NotRun, Err: orderErr}),
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p, ctx := newServedPool(t, &fakeProcess{err: test.err}), context.Background()
+			_, err := NewHomeClient(p, fakeDirectory{}).Start(ctx, "model-1", home.StartRequest{})
+			require.Equal(t, test.wantKind, program.KindOf(err), "%v", err)
+			require.Equal(t, test.wantOutcome, program.AsError(err).Outcome())
+			_, err = NewServiceClient(p, fakeDirectory{}).Run(ctx, "payment-1", newServiceRequest("{}"))
+			require.Equal(t, test.wantOrder, order.KindOf(err), "%v", err)
+			_, err = NewCommitterClient(p, nil).Locate(ctx, "model-1", program.NewID("c", "k"))
+			require.Equal(t, test.wantHistory, history.KindOf(err), "%v", err)
+		})
+	}
+}
--- a/adapter/peer/request_handler.go
+++ b/adapter/peer/request_handler.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/lavendervale/lavendervale/adapter/convert"
 	"github.com/lavendervale/lavendervale/adapter/frame"
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
-	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/order"
 	"github.com/lavendervale/lavendervale/program"
@@ -26,23 +24,21 @@
 func (rh *requestHandler) handle(ctx context.Context, r *peerpb.Request) error {
 	reply, err := rh.dispatch(ctx, r)
 	if err != nil {
-		return rh.replies.Write(&peerpb.Reply{Body: &peerpb.Reply_Fault{Fault: rh.faultFor(err)}})
+		return rh.replies.Write(&peerpb.Reply{Body: &peerpb.Reply_Fault{Fault: faultFor(r, err)}})
 	}
 	return rh.replies.Write(reply)
 }
 
-// faultFor converts the error of a request to a Fault, with the kind that the error has in
-// its own package.
-func (rh *requestHandler) faultFor(err error) *peerpb.Fault {
-	var historyErr *history.Error
-	if errors.As(err, &historyErr) {
-		return &peerpb.Fault{Kind: uint32(historyErr.Kind()), Operation: historyErr.Op(), Message: historyErr.Error()}
-	}
-	var orderErr *order.Error
-	if !errors.As(err, &orderErr) {
-		return faultFromError(err)
-	}
-	return &peerpb.Fault{Kind: uint32(orderErr.Kind()), Operation: orderErr.Op(), Message: orderErr.Message(), Final: orderErr.Final()}
+// faultFor converts the error of a request to a Fault. Its kind is of the package that the
+// client of this request reads it with: the numbers of other packages mean other things.
+func faultFor(r *peerpb.Request, err error) *peerpb.Fault {
+	switch r.GetBody().(type) {
+	case *peerpb.Request_Serve:
+		return faultFromServiceError(err)
+	case *peerpb.Request_Commit, *peerpb.Request_Locate:
+		return faultFromHistoryError(err)
+	}
+	return faultFromError(err)
 }
 
 // dispatch executes a request by its body and returns its last reply. Requests for
