peer: Fail a request whose reply lacks its body

What callers would see: an empty reply, as a process of another version sends for what it does not know, settles an order as run with an empty payload, moves no budget without an error, or is a heartbeat of incarnation 0, at which an order is then claimed. For a start, a call or an end it was an error with the outcome "not run", from the conversion of the missing handle, though the call may have run.

Cause: the getters of a missing message return zero values, and errors of conversion are made for requests, where nothing has run yet.

Test: TestReplyWithoutItsBodyIsNoSuccess failed before in 23 of 27 cases, all but those of the committer and a call cut after text: "An error is expected but got nil" for transfers, heartbeats and orders, "read id: program id has 0 bytes, must have 16" as not run for the others.

Fix: each client checks for the body that belongs to its request, and an error of converting a reply is unavailable and in doubt.

--- a/adapter/peer/home_client.go
+++ b/adapter/peer/home_client.go
@@ -19,7 +19,7 @@
 
 // HomeClient sends requests to the homes of programs on other instances. It returns the
 // errors that the home reports, and errors of program.KindUnavailable when the instance
-// is unknown or the connection fails. A connection failure has the outcome program.NotRun
+// is unknown, the connection fails or the reply is invalid. The outcome is program.NotRun
 // when nothing was sent and program.InDoubt otherwise.
 type HomeClient struct {
 	pool      *Pool
@@ -37,7 +37,7 @@
 	}
 	handle, err := convert.HandleFromProto(reply.GetStarted().GetHandle())
 	if err != nil {
-		return home.StartResult{}, err
+		return home.StartResult{}, invalidReplyError(err)
 	}
 	return home.NewStartResult(handle, reply.GetStarted().GetBudgetTokens(), reply.GetStarted().GetNextNumber()), nil
 }
@@ -62,7 +62,8 @@
 			return home.CallResult{}, err
 		}
 		if text == nil {
-			return resultFromProto(reply.GetResult())
+			result, err := resultFromProto(reply.GetResult())
+			return result, invalidReplyError(err)
 		}
 		if err := sink(text); err != nil {
 			return home.CallResult{}, err
@@ -78,7 +79,8 @@
 	if err != nil {
 		return home.EndResult{}, err
 	}
-	return endedFromProto(reply.GetState())
+	ended, err := endedFromProto(reply.GetState())
+	return ended, invalidReplyError(err)
 }
 
 // Read returns the state of a program from its home.
@@ -89,7 +91,8 @@
 	if err != nil {
 		return home.View{}, err
 	}
-	return viewFromProto(reply.GetState())
+	view, err := viewFromProto(reply.GetState())
+	return view, invalidReplyError(err)
 }
 
 // Transfer moves budget between a parent, whose home is the instance, and its child. It
@@ -102,6 +105,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if reply.GetTransfer() == nil {
+		return 0, invalidReplyError(errMissingBody)
+	}
 	return reply.GetTransfer().GetTokens(), nil
 }
 
@@ -111,6 +117,9 @@
 	if err != nil {
 		return membership.HeartbeatReply{}, err
 	}
+	if reply.GetBeat() == nil {
+		return membership.HeartbeatReply{}, invalidReplyError(errMissingBody)
+	}
 	return beatReplyFromProto(reply.GetBeat()), nil
 }
 
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -6,8 +6,12 @@
 	"net"
 	"testing"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavendervale/lavendervale/adapter/frame"
+	"github.com/lavendervale/lavendervale/adapter/session"
+	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
 	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/membership"
@@ -140,3 +144,94 @@
 		})
 	}
 }
+
+// serveReplies answers every request of a connection with the same frame.
+func serveReplies(conn net.Conn, reply *peerpb.Reply) {
+	muxSession, err := yamux.Server(conn, session.YamuxConfig())
+	if err != nil {
+		return
+	}
+	for {
+		stream, err := muxSession.AcceptStream()
+		if err != nil {
+			return
+		}
+		_ = frame.NewReader(stream).Read(&peerpb.Request{})
+		_ = frame.NewWriter(stream).Write(reply)
+		_ = stream.Close()
+	}
+}
+
+// TestReplyWithoutItsBodyIsNoSuccess checks that a reply that lacks the body for its request
+// fails the request, with an outcome in doubt.
+func TestReplyWithoutItsBodyIsNoSuccess(t *testing.T) {
+	ctx, id := context.Background(), program.NewID("c", "k")
+	tests := []struct {
+		name string
+		do   func(p *Pool) error
+		// isInDoubt reports whether an error of do leaves the outcome open.
+		isInDoubt func(err error) bool
+	}{
+		{name: "start", isInDoubt: isProgramInDoubt, do: func(p *Pool) error {
+			_, err := NewHomeClient(p, fakeDirectory{}).Start(ctx, "model-1", home.StartRequest{})
+			return err
+		}},
+		{name: "call", isInDoubt: isProgramInDoubt, do: func(p *Pool) error {
+			call, err := program.NewCall(program.CallConfig{Number: 1, MaxTokens: 1, Messages: []program.Message{program.NewMessage(program.RoleUser, "one")}})
+			require.NoError(t, err)
+			_, err = NewHomeClient(p, fakeDirectory{}).Call(ctx, "model-1", program.Handle{}, call, func([]byte) error { return nil })
+			return err
+		}},
+		{name: "end", isInDoubt: isProgramInDoubt, do: func(p *Pool) error {
+			_, err := NewHomeClient(p, fakeDirectory{}).End(ctx, "model-1", program.Handle{}, false)
+			return err
+		}},
+		{name: "read", isInDoubt: isProgramInDoubt, do: func(p *Pool) error {
+			_, err := NewHomeClient(p, fakeDirectory{}).Read(ctx, "model-1", program.Handle{})
+			return err
+		}},
+		{name: "transfer", isInDoubt: isProgramInDoubt, do: func(p *Pool) error {
+			_, err := NewHomeClient(p, fakeDirectory{}).Transfer(ctx, "model-1", home.BudgetTransfer{Child: id})
+			return err
+		}},
+		{name: "heartbeat", isInDoubt: isProgramInDoubt, do: func(p *Pool) error {
+			_, err := NewHomeClient(p, fakeDirectory{}).Beat(ctx, "model-1", membership.Heartbeat{})
+			return err
+		}},
+		{name: "run order", isInDoubt: isOrderInDoubt, do: func(p *Pool) error {
+			_, err := NewServiceClient(p, fakeDirectory{}).Run(ctx, "payment-1", newServiceRequest("{}"))
+			return err
+		}},
+		{name: "query order", isInDoubt: isOrderInDoubt, do: func(p *Pool) error {
+			_, err := NewServiceClient(p, fakeDirectory{}).Query(ctx, "payment-1", newServiceRequest("{}"))
+			return err
+		}},
+		{name: "locate record", isInDoubt: func(err error) bool { return history.KindOf(err) == history.KindUnknown }, do: func(p *Pool) error {
+			_, err := NewCommitterClient(p, nil).Locate(ctx, "model-1", id)
+			return err
+		}},
+	}
+	replies := []struct {
+		name  string
+		reply *peerpb.Reply
+	}{
+		{name: "no body", reply: &peerpb.Reply{}},
+		{name: "text", reply: &peerpb.Reply{Text: []byte("text")}},
+		{name: "an empty state", reply: &peerpb.Reply{Body: &peerpb.Reply_State{State: &peerpb.State{}}}},
+	}
+	for _, test := range tests {
+		for _, r := range replies {
+			t.Run(test.name+" with "+r.name, func(t *testing.T) {
+				err := test.do(newPool(t, func(conn net.Conn) { serveReplies(conn, r.reply) }))
+				require.Error(t, err)
+				require.True(t, test.isInDoubt(err), "%v", err)
+			})
+		}
+	}
+}
+
+func isProgramInDoubt(err error) bool {
+	return program.KindOf(err) == program.KindUnavailable && program.AsError(err).Outcome() == program.InDoubt
+}
+
+func isOrderInDoubt(err error) bool { return order.KindOf(err) == order.KindInDoubt }
--- a/adapter/peer/reply.go
+++ b/adapter/peer/reply.go
@@ -1,17 +1,33 @@
 package peer
 
 import (
+	"errors"
+
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lavendervale/lavendervale/adapter/frame"
 	peerpb "github.com/lavendervale/lavendervale/api/peer/v1"
+	"github.com/lavendervale/lavendervale/program"
 )
 
 // textFieldNumber is the number of the field text in the message Reply.
 const textFieldNumber = 1
 
+// errMissingBody is the cause of a reply without the body for its request.
+var errMissingBody = errors.New("reply has no body for the request")
+
+// invalidReplyError returns an error of program.KindUnavailable with the outcome
+// program.InDoubt for a reply that can't be converted, as the request may have been executed
+// all the same. It returns nil when err is nil.
+func invalidReplyError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return connectionError("read reply", program.InDoubt, err)
+}
+
 // readTextOrReply reads the next frame. Most frames hold nothing but a piece of text:
 // their text is returned without being copied, valid until the next frame is read. Any
 // other frame is decoded into m, and the returned text is nil.
--- a/adapter/peer/service_client.go
+++ b/adapter/peer/service_client.go
@@ -70,8 +70,8 @@
 
 // Run makes a service call on an instance. It fails with order.KindIncarnationMismatch
 // when the instance is unknown, with order.KindNotRun when the request was not sent, with
-// order.KindInDoubt when the connection failed later, and with the error that the
-// instance reports.
+// order.KindInDoubt when the connection failed later or the reply is invalid, and with the
+// error that the instance reports.
 func (c *ServiceClient) Run(ctx context.Context, instance string, r order.Request) (order.Reply, error) {
 	return c.call(ctx, instance, r, false)
 }
@@ -101,6 +101,9 @@
 	if fault := reply.GetFault(); fault != nil {
 		return order.Reply{}, serviceErrorFromFault(fault)
 	}
+	if reply.GetServe() == nil {
+		return order.Reply{}, order.Errorf(op, order.KindInDoubt, "%w", errMissingBody)
+	}
 	return order.NewReply(reply.GetServe().GetPayload(), reply.GetServe().GetReplayed()), nil
 }
 
