peer: Refuse a request that can't be encoded as not run

What callers saw: a call of more than 16 MiB with its handle, or one with a string that is not valid UTF-8, ended as unavailable and in doubt. Entries sent it again and again at other homes, and a home asked the ledger for the outcome of an order that had not left it.

Cause: frame.Writer.Write encodes and writes, and openExchange took any of its errors for one of writing.

Test: TestRequestThatCannotBeSentDidNotRun failed before with 0xc (unavailable) in place of 0x1 (invalid): "send request to instance: frame of bytes exceeds the maximum", "string field contains invalid UTF-8".

Fix: frame.Append encodes a frame by itself, and openExchange does so before it opens a stream: its error is KindInvalid and not run, so an order is refused as not run and nobody retries. A query that can't be sent still proves nothing.

--- a/adapter/frame/frame.go
+++ b/adapter/frame/frame.go
@@ -32,19 +32,13 @@
 	return &Writer{writer: w, buffer: make([]byte, 0, initialBufferBytes)}
 }
 
-// Write writes m as one frame, with a single call of the underlying writer. A message
-// larger than MaxBytes is refused and nothing is written.
+// Write writes m as one frame, with a single call of the underlying writer. Nothing is
+// written when Append refuses m.
 func (w *Writer) Write(m proto.Message) error {
-	buffer := append(w.buffer[:0], 0, 0, 0, 0)
-	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, m)
+	buffer, err := Append(w.buffer[:0], m)
 	if err != nil {
-		return trace.Wrap(err)
-	}
-	size := len(buffer) - headerBytes
-	if size > MaxBytes {
-		return trace.LimitExceeded("frame of %d bytes exceeds the maximum of %d bytes", size, MaxBytes)
+		return err
 	}
-	binary.BigEndian.PutUint32(buffer, uint32(size))
 	if cap(buffer) <= maxReusedBufferBytes {
 		w.buffer = buffer
 	}
@@ -52,6 +46,22 @@
 	return err
 }
 
+// Append appends m to buffer as one frame. It fails when m can't be encoded or is larger than
+// MaxBytes.
+func Append(buffer []byte, m proto.Message) ([]byte, error) {
+	start := len(buffer)
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(append(buffer, 0, 0, 0, 0), m)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	size := len(buffer) - start - headerBytes
+	if size > MaxBytes {
+		return nil, trace.LimitExceeded("frame of %d bytes exceeds the maximum of %d bytes", size, MaxBytes)
+	}
+	binary.BigEndian.PutUint32(buffer[start:], uint32(size))
+	return buffer, nil
+}
+
 // Reader reads messages from frames. It is not safe for concurrent use.
 type Reader struct {
 	reader io.Reader
--- a/adapter/peer/home_client.go
+++ b/adapter/peer/home_client.go
@@ -18,8 +18,9 @@
 }
 
 // HomeClient sends requests to the homes of programs on other instances. It returns the
-// errors that the home reports, and errors of program.KindUnavailable when the instance
-// is unknown, the connection fails or the reply is invalid. The outcome is program.NotRun
+// errors that the home reports, errors of program.KindInvalid when the request can't be
+// encoded, and errors of program.KindUnavailable when the instance is unknown, the connection
+// fails or the reply is invalid. The outcome is program.NotRun
 // when nothing was sent and program.InDoubt otherwise.
 type HomeClient struct {
 	pool      *Pool
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/hashicorp/yamux"
@@ -235,3 +236,32 @@
 }
 
 func isOrderInDoubt(err error) bool { return order.KindOf(err) == order.KindInDoubt }
+
+// TestRequestThatCannotBeSentDidNotRun checks that a request that is too large, or can't be
+// encoded, is reported as not run, as no byte of it was sent.
+func TestRequestThatCannotBeSentDidNotRun(t *testing.T) {
+	tests := []struct {
+		name string
+		// text is the key of a program and the method of a service call.
+		text string
+	}{
+		{name: "too large", text: strings.Repeat("k", frame.MaxBytes)},
+		{name: "not valid UTF-8", text: "\xff"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			process := &fakeProcess{err: errors.New("failure")}
+			p, ctx := newServedPool(t, process), context.Background()
+			_, err := NewHomeClient(p, fakeDirectory{}).Start(ctx, "model-1", home.StartRequest{Key: test.text})
+			require.Equal(t, program.KindInvalid, program.KindOf(err), "%v", err)
+			require.Equal(t, program.NotRun, program.AsError(err).Outcome())
+			r := order.NewRequest(order.RequestConfig{Key: order.NewKey(program.NewID("c", "k"), 1, 1), Method: test.text})
+			services := NewServiceClient(p, fakeDirectory{})
+			_, err = services.Run(ctx, "payment-1", r)
+			require.Equal(t, order.KindNotRun, order.KindOf(err), "%v", err)
+			_, err = services.Query(ctx, "payment-1", r)
+			require.Equal(t, order.KindInDoubt, order.KindOf(err), "a query proves nothing when it is not sent: %v", err)
+			require.Zero(t, process.requestCount)
+		})
+	}
+}
--- a/adapter/peer/pool.go
+++ b/adapter/peer/pool.go
@@ -51,16 +51,21 @@
 }
 
 // openExchange sends a request on a new stream; the end of ctx aborts the stream. The
-// error has the outcome program.NotRun when no stream could be opened, and
-// program.InDoubt when part of the request may have been sent.
+// error is of program.KindInvalid when the request can't be encoded. Its outcome is
+// program.NotRun then and when no stream could be opened, and program.InDoubt when part of
+// the request may have been sent.
 func (p *Pool) openExchange(ctx context.Context, address string, req *peerpb.Request) (*exchange, error) {
 	const op = "send request to instance"
+	req.From = p.instanceName
+	encoded, err := frame.Append(nil, req)
+	if err != nil {
+		return nil, program.Errorf(op, program.KindInvalid, "%w", err)
+	}
 	stream, err := p.sessions.Open(ctx, address)
 	if err != nil {
 		return nil, connectionError(op, program.NotRun, err)
 	}
-	req.From = p.instanceName
-	if err := frame.NewWriter(stream).Write(req); err != nil {
+	if _, err := stream.Write(encoded); err != nil {
 		_ = stream.Close()
 		return nil, connectionError(op, program.InDoubt, err)
 	}
