peer: Send an error whose message quotes other than UTF-8

What callers would see: a service refuses an order with a body in another encoding, or an engine with one that is cut within a character. The error can't be encoded, its stream is closed without a reply, and the refusal becomes "in doubt". The ledger repeats the same error at each query, so the order is never settled and the program can't go on.

Cause: the message of a Fault is a string field, which proto refuses when it is not valid UTF-8, and the message had no limit below that of a frame.

Test: TestErrorWithInvalidTextKeepsItsKind failed before with "send request to service: EOF", kind 0x0 (in doubt) in place of 0x1 (not run), for both texts.

Fix: operation and message are cut at 16 KiB and made valid before they are encoded; kind and outcome go with them.

--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -265,3 +265,30 @@
 		})
 	}
 }
+
+// TestErrorWithInvalidTextKeepsItsKind checks that an error reaches the other process when
+// its message quotes bytes that are not valid UTF-8, which a message can't hold, or is long.
+func TestErrorWithInvalidTextKeepsItsKind(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+	}{
+		{name: "not valid UTF-8", text: "\xff"},
+		{name: "larger than a frame", text: strings.Repeat("k", frame.MaxBytes)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx := context.Background()
+			p := newServedPool(t, &fakeProcess{err: order.Errorf("run order", order.KindNotRun, "service said %s", test.text)})
+			_, err := NewServiceClient(p, fakeDirectory{}).Run(ctx, "payment-1", newServiceRequest("{}"))
+			require.Equal(t, order.KindNotRun, order.KindOf(err), "%v", err)
+			p = newServedPool(t, &fakeProcess{err: history.Errorf("commit", history.KindSuperseded, "home said %s", test.text)})
+			_, err = NewCommitterClient(p, nil).Locate(ctx, "model-1", program.NewID("c", "k"))
+			require.Equal(t, history.KindSuperseded, history.KindOf(err), "%v", err)
+			p = newServedPool(t, &fakeProcess{err: program.Errorf("run", program.KindOverloaded, "engine said %s", test.text)})
+			_, err = NewHomeClient(p, fakeDirectory{}).Start(ctx, "model-1", home.StartRequest{})
+			require.Equal(t, program.KindOverloaded, program.KindOf(err), "%v", err)
+			require.Equal(t, program.NotRun, program.AsError(err).Outcome())
+		})
+	}
+}
--- a/adapter/peer/request_handler.go
+++ b/adapter/peer/request_handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/lavendervale/lavendervale/adapter/convert"
 	"github.com/lavendervale/lavendervale/adapter/frame"
@@ -11,6 +12,11 @@
 	"github.com/lavendervale/lavendervale/program"
 )
 
+const (
+	// maxFaultTextBytes is the largest part of the message of an error that is sent.
+	maxFaultTextBytes = 16 << 10
+)
+
 // requestHandler handles the one request of a stream and writes its replies.
 type requestHandler struct {
 	server  *Server
@@ -32,13 +38,23 @@
 // faultFor converts the error of a request to a Fault. Its kind is of the package that the
 // client of this request reads it with: the numbers of other packages mean other things.
 func faultFor(r *peerpb.Request, err error) *peerpb.Fault {
+	var fault *peerpb.Fault
 	switch r.GetBody().(type) {
 	case *peerpb.Request_Serve:
-		return faultFromServiceError(err)
+		fault = faultFromServiceError(err)
 	case *peerpb.Request_Commit, *peerpb.Request_Locate:
-		return faultFromHistoryError(err)
+		fault = faultFromHistoryError(err)
+	default:
+		fault = faultFromError(err)
 	}
-	return faultFromError(err)
+	fault.Operation, fault.Message = faultText(fault.GetOperation()), faultText(fault.GetMessage())
+	return fault
+}
+
+// faultText returns a text that can be encoded. Messages quote responses, which may be long,
+// in another encoding, or cut within a character.
+func faultText(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxFaultTextBytes)], "\uFFFD")
 }
 
 // dispatch executes a request by its body and returns its last reply. Requests for
