session: Keep every session in the pool until it is closed

What operators would see: connections to other instances that stay open, with a ping a second each, until the other side stops: of a pool that closes idle sessions, or the session of a lost instance, while requests to the same address begin.

Cause: Open takes the slot of an address from the pool and then waits for its lock. When the slot was removed from the pool in between, by CloseSession, Close or for idleness, it set up a session in a slot that nothing finds any more. closeIdle also waited for a slot's lock under the lock of the pool, so a connection being set up stopped all requests.

Fix: a removed slot says so under its lock, and Open then takes a new one. The lock is a channel, so that closeIdle tests and closes a slot in one step without a wait.

Same class (looked up under one lock, used under another) looked for in platform/connection_pool.go (a connection is returned under the lock that closes idle ones), home (shards: lost is checked under the same lock), history/stream.go and order/ledger.go (one lock): none found. adapter/mesh uses this pool.

--- a/adapter/session/pool.go
+++ b/adapter/session/pool.go
@@ -51,16 +51,45 @@
 
 // slot holds the session to one address.
 type slot struct {
-	// mu guards the other fields. It is held while the connection is set up, so that
-	// concurrent requests share one session.
-	mu sync.Mutex
+	// lock guards the other fields: who has sent a value holds it until receiving one. It
+	// is held while the connection is set up, so that concurrent requests share one
+	// session; unlike a mutex, a context can end the wait for it.
+	lock chan struct{}
 	// session is nil until a connection succeeds and after one has failed. It may be closed
 	// already; Open replaces it then.
 	session *yamux.Session
 	// lastOpenAt is when a stream was last requested, or when the slot was created.
 	lastOpenAt time.Time
+	// removed is set once the slot is no longer in the pool; no session is set then.
+	removed bool
+}
+
+func newSlot() *slot {
+	return &slot{lock: make(chan struct{}, 1), lastOpenAt: time.Now()}
+}
+
+// acquire locks the slot, or returns the error of ctx when it ends first.
+func (s *slot) acquire(ctx context.Context) error {
+	select {
+	case s.lock <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
+// tryAcquire locks the slot, or returns false when it is locked.
+func (s *slot) tryAcquire() bool {
+	select {
+	case s.lock <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *slot) release() { <-s.lock }
+
 // NewPool returns a pool without sessions. Close ends its goroutine, which closes idle
 // sessions.
 func NewPool(c PoolConfig) *Pool {
@@ -94,24 +123,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, s := range p.slots {
-		if s.idle(now) {
+		if s.closeIfIdle(now) {
 			delete(p.slots, address)
-			s.close()
 		}
 	}
 }
 
-// idle reports whether the session has no streams and the last one was opened at least
-// idleTimeout ago. A slot whose connection is being set up is not idle.
-func (s *slot) idle(now time.Time) bool {
-	if !s.mu.TryLock() {
+// closeIfIdle closes the session if it has no streams and the last one was opened at least
+// idleTimeout ago, and reports whether it did. A slot whose connection is being set up is
+// not idle.
+func (s *slot) closeIfIdle(now time.Time) bool {
+	if !s.tryAcquire() {
 		return false
 	}
-	defer s.mu.Unlock()
-	if now.Sub(s.lastOpenAt) < idleTimeout {
+	defer s.release()
+	if now.Sub(s.lastOpenAt) < idleTimeout || (s.session != nil && s.session.NumStreams() > 0) {
 		return false
 	}
-	return s.session == nil || s.session.NumStreams() == 0
+	s.closeLocked()
+	return true
 }
 
 // PingOrClose pings the process at an address and reports whether it responded within
@@ -124,9 +154,13 @@
 	if !ok {
 		return false
 	}
-	s.mu.Lock()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if s.acquire(ctx) != nil {
+		return false
+	}
 	session := s.session
-	s.mu.Unlock()
+	s.release()
 	if session == nil {
 		return false
 	}
@@ -140,7 +174,7 @@
 		if err == nil {
 			return true
 		}
-	case <-time.After(timeout):
+	case <-ctx.Done():
 	}
 	_ = session.Close()
 	return false
@@ -180,9 +214,16 @@
 	return len(p.slots)
 }
 
+// close closes the session of a slot that has been removed from the pool. It waits for a
+// connection that is being set up.
 func (s *slot) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock <- struct{}{}
+	defer s.release()
+	s.closeLocked()
+}
+
+func (s *slot) closeLocked() {
+	s.removed = true
 	if s.session != nil {
 		_ = s.session.Close()
 	}
@@ -191,12 +232,11 @@
 // Open opens a stream to an address. It sets up a new session when there is none or the
 // old one opens no streams.
 func (p *Pool) Open(ctx context.Context, address string) (*yamux.Stream, error) {
-	s, err := p.slotFor(address)
+	s, err := p.acquireSlot(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.release()
 	s.lastOpenAt = time.Now()
 	if s.session != nil {
 		stream, err := s.session.OpenStream()
@@ -222,6 +262,24 @@
 	return stream, trace.Wrap(err)
 }
 
+// acquireSlot locks the slot of an address. A slot that has been removed during the wait is
+// replaced, since the pool would never close a session in it.
+func (p *Pool) acquireSlot(ctx context.Context, address string) (*slot, error) {
+	for {
+		s, err := p.slotFor(address)
+		if err != nil {
+			return nil, err
+		}
+		if err := s.acquire(context.WithoutCancel(ctx)); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if !s.removed {
+			return s, nil
+		}
+		s.release()
+	}
+}
+
 // slotFor returns the slot of an address, a new one if needed.
 func (p *Pool) slotFor(address string) (*slot, error) {
 	p.mu.Lock()
@@ -231,7 +289,7 @@
 	}
 	s, ok := p.slots[address]
 	if !ok {
-		s = &slot{lastOpenAt: time.Now()}
+		s = newSlot()
 		p.slots[address] = s
 	}
 	return s, nil
