session: End the wait for a connection with the context of the request

What callers would see: while an address does not answer, each request to it waits for those before it, a second each for their attempts to connect, whatever its own deadline. PingOrClose waited beyond its timeout in the same way.

Test: TestOpenEndsWithItsContext did not end with a wait without the context ("panic: test timed out after 3s", in Pool.Open).

Same class (a wait past its context): timer.Sleep is used in history and home.

--- a/adapter/session/pool.go
+++ b/adapter/session/pool.go
@@ -270,7 +270,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := s.acquire(context.WithoutCancel(ctx)); err != nil {
+		if err := s.acquire(ctx); err != nil {
 			return nil, trace.Wrap(err)
 		}
 		if !s.removed {
--- a/adapter/session/pool_test.go
+++ b/adapter/session/pool_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
@@ -88,3 +89,28 @@
 	_, err := p.Open(context.Background(), "model-1")
 	require.Error(t, err)
 }
+
+// TestOpenEndsWithItsContext checks that a request does not wait beyond its context while
+// another one sets up the connection.
+func TestOpenEndsWithItsContext(t *testing.T) {
+	dialing, release := make(chan struct{}, 1), make(chan struct{})
+	p := session.NewPool(session.PoolConfig{Dial: func(context.Context, string) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-release
+		return nil, net.ErrClosed
+	}})
+	defer p.Close()
+	first := make(chan error, 1)
+	go func() {
+		_, err := p.Open(context.Background(), "model-1")
+		first <- err
+	}()
+	<-dialing
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err := p.Open(ctx, "model-1")
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.False(t, p.PingOrClose("model-1", time.Millisecond))
+	close(release)
+	require.ErrorIs(t, <-first, net.ErrClosed)
+}
