peer: End the sending of a request with its context

What callers would see: a request larger than the window of a stream waits for a process that accepts the stream and reads nothing, as long as that process answers pings, whatever the deadline of the request.

Cause: openExchange let the end of the context abort the stream only after the request was written.

Test: TestRequestEndsWithItsContext did not end before ("panic: test timed out after 3s", in yamux.(*Stream).Write).

Fix: the context aborts the stream from its opening on; a request that was cut off is in doubt.

--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -292,3 +292,18 @@
 		})
 	}
 }
+
+// TestRequestEndsWithItsContext checks that a request ends with its context when the other
+// process accepts a stream but reads nothing from it.
+func TestRequestEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := newPool(t, func(conn net.Conn) {
+		if s, err := yamux.Server(conn, session.YamuxConfig()); err == nil {
+			_, _ = s.AcceptStream()
+			cancel()
+		}
+	})
+	_, err := NewHomeClient(p, fakeDirectory{}).Start(ctx, "model-1", home.StartRequest{Key: strings.Repeat("k", frame.MaxBytes/2)})
+	require.True(t, isProgramInDoubt(err), "%v", err)
+}
--- a/adapter/peer/pool.go
+++ b/adapter/peer/pool.go
@@ -65,12 +65,12 @@
 	if err != nil {
 		return nil, connectionError(op, program.NotRun, err)
 	}
+	x := &exchange{stream: stream, reader: frame.NewReader(stream)}
+	x.detachContext = context.AfterFunc(ctx, func() { session.AbortStream(stream) })
 	if _, err := stream.Write(encoded); err != nil {
-		_ = stream.Close()
+		x.close()
 		return nil, connectionError(op, program.InDoubt, err)
 	}
-	x := &exchange{stream: stream, reader: frame.NewReader(stream)}
-	x.detachContext = context.AfterFunc(ctx, func() { session.AbortStream(stream) })
 	return x, nil
 }
 
