--- a/history/stream.go
+++ b/history/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,12 +20,15 @@
 	maxRetryDelay = 2 * time.Second
 )
 
-// pendingCommit is a record that is queued or being appended.
+// pendingCommit is a record that is queued or being appended, for all callers that commit
+// it at that time.
 type pendingCommit struct {
 	record Record
-	// done gets the result of the commit. It has room for one value, so that sending
-	// never blocks.
-	done chan commitResult
+	// inFlight is set once the record is part of a batch.
+	inFlight bool
+	// done is closed when the result is known; result is set before.
+	done   chan struct{}
+	result commitResult
 }
 
 // commitResult is the outcome of committing a record.
@@ -49,8 +53,9 @@
 	mu sync.Mutex
 	// queued holds records that are not part of a batch yet, oldest first.
 	queued []*pendingCommit
-	// inFlight holds records of the current batch that have not been read back yet.
-	inFlight map[RecordID]*pendingCommit
+	// pending holds the records that are queued, and those of the current batch that
+	// have not been read back yet.
+	pending map[RecordID]*pendingCommit
 	// chainEnds holds the latest valid record of each program.
 	chainEnds chainEnds
 	// nextOffset is the offset of the first entry that has not been read yet.
@@ -62,26 +67,43 @@
 
 func newStream(c CommitterConfig, name string) *stream {
 	return &stream{
-		config: c, name: name, wake: make(chan struct{}, 1), appendLimiter: rate.NewLimiter(rate.Limit(c.AppendRate/float64(c.StreamCount)), appendBurst), inFlight: map[RecordID]*pendingCommit{}, chainEnds: chainEnds{},
+		config: c, name: name, wake: make(chan struct{}, 1), appendLimiter: rate.NewLimiter(rate.Limit(c.AppendRate/float64(c.StreamCount)), appendBurst), pending: map[RecordID]*pendingCommit{}, chainEnds: chainEnds{},
 	}
 }
 
 // commit queues a record and waits until it is valid or superseded in the log. The error
 // is of KindUnknown when ctx ends first; the record stays queued and may still be appended.
 func (s *stream) commit(ctx context.Context, r Record) (Position, error) {
-	pending := &pendingCommit{record: r, done: make(chan commitResult, 1)}
-	s.mu.Lock()
-	s.queued = append(s.queued, pending)
-	s.mu.Unlock()
+	pending := s.enqueue(r)
 	s.signal()
 	select {
-	case res := <-pending.done:
-		return res.position, res.err
+	case <-pending.done:
+		return pending.result.position, pending.result.err
 	case <-ctx.Done():
 		return NoPosition, Errorf("commit", KindUnknown, "wait for record %s to be read back from the log: %w", r.ID(), ctx.Err())
 	}
 }
 
+// enqueue queues a record, unless it is pending already.
+func (s *stream) enqueue(r Record) *pendingCommit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pending, ok := s.pending[r.ID()]; ok {
+		return pending
+	}
+	pending := &pendingCommit{record: r, done: make(chan struct{})}
+	s.pending[r.ID()] = pending
+	s.queued = append(s.queued, pending)
+	return pending
+}
+
+// finishLocked ends a commit. s.mu must be held.
+func (s *stream) finishLocked(pending *pendingCommit, result commitResult) {
+	delete(s.pending, pending.record.ID())
+	pending.result = result
+	close(pending.done)
+}
+
 // signal wakes run.
 func (s *stream) signal() {
 	select {
@@ -107,7 +129,10 @@
 			if len(batch) == 0 {
 				break
 			}
-			s.retryUntilDone(ctx, func() error { return s.append(ctx, batch) })
+			s.retryUntilDone(ctx, func() (err error) {
+				batch, err = s.append(ctx, batch)
+				return err
+			})
 			if ctx.Err() != nil {
 				return
 			}
@@ -135,7 +160,7 @@
 	batch := append([]*pendingCommit(nil), s.queued[:n]...)
 	s.queued = append(s.queued[:0], s.queued[n:]...)
 	for _, c := range batch {
-		s.inFlight[c.record.ID()] = c
+		c.inFlight = true
 	}
 	return batch
 }
@@ -150,34 +175,63 @@
 	}
 }
 
-// append appends the records of a batch that have not been read back from the log yet. It
-// is called again with the same batch after an error. An append that failed may be in the
-// log all the same, so the stream is read after it, and records found there are not sent
-// again.
-func (s *stream) append(ctx context.Context, batch []*pendingCommit) error {
+// append appends the records of a batch that have not been read back from the log yet, and
+// returns the batch that it tried to append: a part of the given one when that can't be
+// encoded as a whole. It is called again with the returned batch after an error. An append
+// that failed may be in the log all the same, so the stream is read after it, and records
+// found there are not sent again.
+func (s *stream) append(ctx context.Context, batch []*pendingCommit) ([]*pendingCommit, error) {
 	if err := s.catchUp(ctx); err != nil {
-		return err
+		return batch, err
 	}
-	records := s.recordsToAppend(batch)
+	batch, records, data := s.encode(batch)
 	if len(records) == 0 {
-		return nil
-	}
-	data, err := s.config.Codec.Encode(records)
-	if err != nil {
-		s.failBatch(batch, err)
-		return nil
+		return batch, nil
 	}
 	offset, err := s.config.Log.Append(ctx, s.name, data)
 	if err != nil {
 		s.countRetry()
 		_ = s.readToEnd(ctx)
-		return err
+		return batch, err
 	}
 	if err := s.readUpTo(ctx, offset); err != nil {
-		return err
+		return batch, err
 	}
 	s.applyAppended(offset, records, len(data))
-	return nil
+	return batch, nil
+}
+
+// encode returns the records of a batch that are to be appended, with their encoding. When
+// they can't be encoded together, it puts the second half of the batch back into the queue
+// and tries the first, so that a record that can't be encoded fails alone.
+func (s *stream) encode(batch []*pendingCommit) ([]*pendingCommit, []Record, []byte) {
+	for {
+		records := s.recordsToAppend(batch)
+		if len(records) == 0 {
+			return batch, nil, nil
+		}
+		data, err := s.config.Codec.Encode(records)
+		if err == nil {
+			return batch, records, data
+		}
+		if len(batch) == 1 {
+			s.failUnencodable(batch[0], err)
+			return batch, nil, nil
+		}
+		half := len(batch) / 2
+		s.requeue(batch[half:])
+		batch = batch[:half]
+	}
+}
+
+// requeue puts commits that are in flight back to the head of the queue.
+func (s *stream) requeue(commits []*pendingCommit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range commits {
+		c.inFlight = false
+	}
+	s.queued = slices.Concat(commits, s.queued)
 }
 
 // recordsToAppend returns the records of a batch that have not been read back from the
@@ -188,7 +242,7 @@
 	records := make([]Record, 0, len(batch))
 	indexByID := make(map[RecordID]int, len(batch))
 	for _, c := range batch {
-		if s.inFlight[c.record.ID()] != c {
+		if s.pending[c.record.ID()] != c {
 			continue
 		}
 		indexByID[c.record.ID()] = len(records)
@@ -210,14 +264,11 @@
 	return r
 }
 
-// failBatch ends the commits of a batch that can't be encoded.
-func (s *stream) failBatch(batch []*pendingCommit, err error) {
+// failUnencodable ends the commit of a record that can't be encoded.
+func (s *stream) failUnencodable(c *pendingCommit, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range batch {
-		delete(s.inFlight, c.record.ID())
-		c.done <- commitResult{position: NoPosition, err: Errorf("commit", KindCorrupt, "encode records: %w", err)}
-	}
+	s.finishLocked(c, commitResult{position: NoPosition, err: Errorf("commit", KindCorrupt, "encode record %s of type %s: %w", c.record.ID(), c.record.Body().Type(), err)})
 }
 
 func (s *stream) countRetry() {
@@ -233,6 +284,6 @@
 	defer s.mu.Unlock()
 	stats := s.stats
 	stats.Programs = len(s.chainEnds)
-	stats.Waiting = len(s.queued) + len(s.inFlight)
+	stats.Waiting = len(s.pending)
 	return stats
 }
