Print no values of unknown keys and of invalid lines of INI files

Seen: lavendervaled check and run, and the line logged on SIGHUP, printed the secret of a mistyped key ("[handles] kye = \"0011...\": unknown key").

Cause: checkKeys put the value of every unknown key into its problem. Only keys that the code asks for know whether they are secret; an unknown one may be a mistyped secret, in any section, as its header may be missing. The same class: errors of package ini quote the line that they stop at.

Fix: the value of an unknown key and the text of an invalid line stay out of messages.

Looked elsewhere: adapter/caller and adapter/seal report names and sizes of keys only; [tls] holds file names.

--- a/adapter/inifile/file.go
+++ b/adapter/inifile/file.go
@@ -25,7 +25,8 @@
 	options := ini.LoadOptions{IgnoreInlineComment: true, AllowDuplicateShadowValues: false, KeyValueDelimiters: "="}
 	parsed, err := ini.LoadSources(options, text)
 	if err != nil {
-		f.addProblem("", "", "", "not valid INI: "+err.Error())
+		// The error quotes a line, which may hold a secret.
+		f.addProblem("", "", "", "not valid INI")
 		parsed = ini.Empty()
 	}
 	f.ini = parsed
--- a/adapter/inifile/problem.go
+++ b/adapter/inifile/problem.go
@@ -23,7 +23,8 @@
 // Key returns the key with the problem, empty if it concerns the whole section.
 func (p Problem) Key() string { return p.key }
 
-// Value returns the invalid value, empty if there is none.
+// Value returns the invalid value, empty if there is none, if the key is unknown or if it
+// holds a secret.
 func (p Problem) Value() string { return p.value }
 
 // Message returns what is wrong, or what is expected instead of the value.
--- a/adapter/inifile/section.go
+++ b/adapter/inifile/section.go
@@ -160,7 +160,8 @@
 	return values
 }
 
-// checkKeys adds a problem for each key that no code asked for.
+// checkKeys adds a problem for each key that no code asked for. Messages omit the values,
+// as the key may be the mistyped one of a secret.
 func (s *section) checkKeys() {
 	if s.ini == nil {
 		return
@@ -172,7 +173,7 @@
 	sort.Strings(knownKeys)
 	for _, k := range s.ini.Keys() {
 		if !s.keysRead[k.Name()] {
-			s.addProblem(k.Name(), k.Value(), "unknown key, known keys are "+strings.Join(knownKeys, ", "))
+			s.addProblem(k.Name(), "", "unknown key, known keys are "+strings.Join(knownKeys, ", "))
 		}
 	}
 }
