Report every mistake of an INI file with its line

Seen: of five mistakes in the settings of a front (a wrong role, a port over 65535, an unknown key, an unknown section, a wrong value in a section), check named four among eleven that were none, hid the wrong value, and gave no lines. Keys outside any section were one "[DEFAULT]: unknown section", however many they were; one invalid line hid the whole file.

Cause: a file without a valid role was read as the settings of an entry, so that the sections of its real role were unknown and not looked into. Package ini stops at the first invalid line, and the file counted as empty then. It knows no line numbers.

The wanted text of "key outside any section" in TestFrontSettingsErrors names the line and the key now, in place of DEFAULT.

A file without a valid role is checked for the role with the fewest problems, and the message names it.

Looked elsewhere: the check of models in configurations was left out beside any other mistake (TestConfigurationReportsErrorsBesideUnknownModel failed with "does not contain names model"); it runs always now, and still names one unknown model at a time.

--- a/adapter/inifile/configuration.go
+++ b/adapter/inifile/configuration.go
@@ -23,13 +23,12 @@
 	drainSection := f.section("drain")
 	config.Draining = drainSection.list("endpoints")
 	drainSection.checkKeys()
-	if err := f.checkSections(op, `[class "NAME"]`, `[service "NAME"]`, `[model "NAME"]`, "[drain]"); err != nil {
-		return nil, err
-	}
 	parsed, err := configuration.New(config)
 	if err != nil {
 		f.addProblem("", "", "", err.Error())
-		return nil, &Error{op: op, problems: f.problems}
+	}
+	if err := f.checkSections(op, `[class "NAME"]`, `[service "NAME"]`, `[model "NAME"]`, "[drain]"); err != nil {
+		return nil, err
 	}
 	return parsed, nil
 }
--- a/adapter/inifile/front.go
+++ b/adapter/inifile/front.go
@@ -6,22 +6,12 @@
 	"github.com/lavendervale/lavendervale/daemon"
 )
 
-const (
-	// frontRole is the value of role in the settings of a front, a role that fleet.Role
-	// does not include.
-	frontRole = "front"
-	// maxShards is the maximum number of shards of the log.
-	maxShards = 4096
-)
-
-// isFront reports whether the file holds the settings of a front.
-func isFront(f *file) bool {
-	s, err := f.ini.GetSection("process")
-	return err == nil && s.HasKey("role") && s.Key("role").Value() == frontRole
-}
+// maxShards is the maximum number of shards of the log.
+const maxShards = 4096
 
-// readFront parses the settings of a front into settings.
-func readFront(f *file, settings *Settings) (*Settings, error) {
+// readFront parses the settings of a front.
+func readFront(f *file) (*Settings, error) {
+	settings := &Settings{}
 	config := &daemon.FrontConfig{}
 	processSection := f.section("process")
 	processSection.keysRead["role"] = true
--- a/adapter/inifile/front_test.go
+++ b/adapter/inifile/front_test.go
@@ -35,7 +35,7 @@
 		{name: "no shards", old: "shards = 12", new: "shards = 0", want: "shards"},
 		{name: "unknown key", old: "shards = 12", new: "shard = 12", want: "shard"},
 		{name: "unknown section", old: "[log]", new: "[logs]", want: "logs"},
-		{name: "key outside any section", old: "[process]\n", new: "colour = blue\n[process]\n", want: "DEFAULT"},
+		{name: "key outside any section", old: "[process]\n", new: "colour = blue\n[process]\n", want: "front.ini:3: colour: outside any section"},
 		{name: "too little memory", old: "memory = 256", new: "memory = 1", want: "memory"},
 	}
 	for _, test := range tests {
--- a/adapter/inifile/problem.go
+++ b/adapter/inifile/problem.go
@@ -8,6 +8,7 @@
 // Problem is one error in an INI file.
 type Problem struct {
 	file    string
+	line    int
 	section string
 	key     string
 	value   string
@@ -17,7 +18,12 @@
 // File returns the name of the file.
 func (p Problem) File() string { return p.file }
 
-// Section returns the section with the problem, empty if it concerns the whole file.
+// Line returns the line of the key, or of the section if the file does not have the key,
+// counted from 1. It is 0 if the file has neither.
+func (p Problem) Line() int { return p.line }
+
+// Section returns the section with the problem, empty if it concerns the whole file or a
+// line outside any section.
 func (p Problem) Section() string { return p.section }
 
 // Key returns the key with the problem, empty if it concerns the whole section.
@@ -30,12 +36,18 @@
 // Message returns what is wrong, or what is expected instead of the value.
 func (p Problem) Message() string { return p.message }
 
-// String returns the problem on one line, with its file, section, key and value.
+// String returns the problem on one line, with its file, line, section, key and value.
 func (p Problem) String() string {
 	var b strings.Builder
 	b.WriteString(p.file)
+	if p.line > 0 {
+		fmt.Fprintf(&b, ":%d", p.line)
+	}
+	if p.section != "" || p.key != "" {
+		b.WriteString(":")
+	}
 	if p.section != "" {
-		fmt.Fprintf(&b, ": [%s]", p.section)
+		fmt.Fprintf(&b, " [%s]", p.section)
 	}
 	if p.key != "" {
 		fmt.Fprintf(&b, " %s", p.key)
@@ -65,5 +77,5 @@
 // Op returns the operation that failed.
 func (e *Error) Op() string { return e.op }
 
-// Problems returns the problems, sorted by section name.
+// Problems returns the problems, sorted by section name and line.
 func (e *Error) Problems() []Problem { return e.problems }
--- a/adapter/inifile/settings.go
+++ b/adapter/inifile/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"math"
 	"os"
 
@@ -12,6 +13,13 @@
 	"github.com/lavendervale/lavendervale/fleet"
 )
 
+// frontRole is the value of role in the settings of a front, a role that fleet.Role does not
+// include.
+const frontRole = "front"
+
+// roles holds the values of role.
+var roles = []string{fleet.EntryRole.String(), fleet.EngineRole.String(), fleet.ServiceRole.String(), frontRole}
+
 // Settings holds the settings of one process.
 type Settings struct {
 	daemon daemon.Config
@@ -49,10 +57,36 @@
 // error is an *Error.
 func ReadSettings(fileName string, text []byte) (*Settings, error) {
 	f := parseFile(fileName, text)
-	settings := &Settings{daemon: daemon.Config{Parse: ParseConfiguration}}
-	if isFront(f) {
-		return readFront(f, settings)
+	if role := f.section("process").enum("role", "", roles...); role != "" {
+		return readRole(f, role)
 	}
+	return nil, checkWithoutRole(f)
+}
+
+// checkWithoutRole returns the problems of settings whose role is missing or wrong. Which
+// sections and keys are valid depends on the role, so it checks the file for the role with
+// the fewest problems.
+func checkWithoutRole(f *file) error {
+	var fewest *Error
+	for _, role := range roles {
+		candidate := f.clone()
+		roleProblem := &candidate.problems[len(candidate.problems)-1]
+		roleProblem.message += "; the rest is checked as the settings of role " + role
+		var found *Error
+		if _, err := readRole(candidate, role); errors.As(err, &found) && (fewest == nil || len(found.problems) < len(fewest.problems)) {
+			fewest = found
+		}
+	}
+	return fewest
+}
+
+// readRole parses the settings of a process with the given role.
+func readRole(f *file, role string) (*Settings, error) {
+	if role == frontRole {
+		return readFront(f)
+	}
+	settings := &Settings{daemon: daemon.Config{Parse: ParseConfiguration}}
+	settings.daemon.Role, _ = fleet.ParseRole(role)
 	readProcess(f, &settings.daemon)
 	readPlatform(f, &settings.daemon)
 	readLog(f, settings)
@@ -80,8 +114,7 @@
 	processSection := f.section("process")
 	config.Name = processSection.requiredText("name", "a name that is unique among the instances")
 	config.Domain = processSection.requiredText("domain", "the failure domain of the process")
-	role := processSection.enum("role", "", fleet.EntryRole.String(), fleet.EngineRole.String(), fleet.ServiceRole.String(), frontRole)
-	config.Role, _ = fleet.ParseRole(role)
+	processSection.keysRead["role"] = true
 	config.StopTimeout = processSection.duration("stop-timeout", daemon.DefaultStopTimeout)
 	processSection.checkKeys()
 	listenSection := f.section("listen")
