Name the lines of invalid caller keys, not what stands before the equals sign

Seen: for a line of [callers] or [operators] the wrong way round, KEY = NAME, the message printed the key as the name of its owner. Two owners with the same key were reported only in a file without any other mistake.

Cause: the names of keys are free in these sections, so a name may be a secret; the check for equal keys ran only while the file had no problem.

Fix: the line is named instead of the owner, and equal keys are looked for in the section itself, in the order of lines, so that the output is always the same. [callers] and [operators] are the only sections with free names.

--- a/adapter/inifile/problem.go
+++ b/adapter/inifile/problem.go
@@ -18,15 +18,16 @@
 // File returns the name of the file.
 func (p Problem) File() string { return p.file }
 
-// Line returns the line of the key, or of the section if the file does not have the key,
-// counted from 1. It is 0 if the file has neither.
+// Line returns the line with the problem, counted from 1: that of the key, or of the
+// section if the file does not have the key, or 0 if it has neither.
 func (p Problem) Line() int { return p.line }
 
 // Section returns the section with the problem, empty if it concerns the whole file or a
 // line outside any section.
 func (p Problem) Section() string { return p.section }
 
-// Key returns the key with the problem, empty if it concerns the whole section.
+// Key returns the key with the problem, empty if it concerns the whole section or a line
+// that holds a secret.
 func (p Problem) Key() string { return p.key }
 
 // Value returns the invalid value, empty if there is none, if the key is unknown or if it
--- a/adapter/inifile/section.go
+++ b/adapter/inifile/section.go
@@ -1,7 +1,9 @@
 package inifile
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -34,6 +36,19 @@
 	s.file.addProblem(s.name, key, value, message)
 }
 
+// addProblemAt adds a problem of a line whose key must not be named.
+func (s *section) addProblemAt(line int, message string) {
+	s.file.problems = append(s.file.problems, Problem{file: s.file.name, line: line, section: s.name, message: message})
+}
+
+// sortedByLine sorts keys of the section by their lines.
+func (s *section) sortedByLine(keys []string) []string {
+	slices.SortFunc(keys, func(a, b string) int {
+		return cmp.Compare(s.file.lines.of(s.name, a), s.file.lines.of(s.name, b))
+	})
+	return keys
+}
+
 // requiredText returns the value of a key that must be present and not empty; expected
 // describes the value in the message if it is missing.
 func (s *section) requiredText(key, expected string) string {
--- a/adapter/inifile/settings.go
+++ b/adapter/inifile/settings.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/hex"
 	"errors"
+	"maps"
 	"math"
 	"os"
+	"slices"
+	"strconv"
 
 	"github.com/lavendervale/lavendervale/adapter/caller"
 	"github.com/lavendervale/lavendervale/adapter/certificate"
@@ -191,20 +194,24 @@
 }
 
 // readKeys reads a section of lines NAME = KEY and returns the secret keys by the name of
-// their owner. Messages omit the keys.
+// their owner. Messages omit the keys, and the names too, as a line may hold KEY = NAME.
 func readKeys(f *file, sectionName string, required bool) map[string]string {
 	s := f.section(sectionName)
 	keys := s.unreadValues()
-	for owner, key := range keys {
-		if len(key) < caller.MinKeyBytes {
-			s.addProblem(owner, "", "the key must have at least 16 bytes")
-		}
-	}
 	if required && len(keys) == 0 {
 		s.addProblem("", "", "missing, expected lines of the form NAME = KEY")
 	}
-	if _, err := caller.NewKeyring(keys); err != nil && len(f.problems) == 0 {
-		s.addProblem("", "", err.Error())
+	lineByKey := map[string]int{}
+	for _, owner := range s.sortedByLine(slices.Collect(maps.Keys(keys))) {
+		key, line := keys[owner], f.lines.of(sectionName, owner)
+		if len(key) < caller.MinKeyBytes {
+			s.addProblemAt(line, "the key must have at least "+strconv.Itoa(caller.MinKeyBytes)+" bytes")
+		}
+		if otherLine, ok := lineByKey[key]; ok {
+			s.addProblemAt(line, "the key is the same as that of line "+strconv.Itoa(otherLine)+", keys must differ")
+			continue
+		}
+		lineByKey[key] = line
 	}
 	return keys
 }
--- a/adapter/inifile/settings_test.go
+++ b/adapter/inifile/settings_test.go
@@ -93,6 +93,8 @@
 		{name: "secret in a section of another kind", text: "[process]\nrole = entry\nprevious-key = " + secret},
 		{name: "secret outside any section", text: "key = " + secret},
 		{name: "secret in an unknown section", text: "[handle]\nkey = " + secret},
+		{name: "secret before its owner", text: "[process]\nrole = entry\n[callers]\n" + secret + " = omuti"},
+		{name: "same secret before two owners", text: "[process]\nrole = entry\n[callers]\n" + secret + " = omuti-pods-trading\n" + secret[:31] + " = omuti-pods-trading"},
 		{name: "line without an equals sign", text: "[handles]\nkey " + secret},
 		{name: "line without a key", text: "[handles]\n= " + secret},
 		{name: "key with an open quote", text: "[handles]\n\"key = " + secret},
@@ -109,6 +111,16 @@
 	}
 }
 
+// TestKeysOfOwnersMustDiffer checks that two owners with the same key are reported with the
+// lines of both, also beside another mistake.
+func TestKeysOfOwnersMustDiffer(t *testing.T) {
+	const key = "00112233445566778899aabbccddeeff"
+	text := "[process]\nrole = entry\n[callers]\nomuti = " + key + "\ncernavoda = another-" + key + "\nerongo = " + key + "\n"
+	err := readSettings("x.ini", []byte(text))
+	require.ErrorContains(t, err, "x.ini:6: [callers]: the key is the same as that of line 4")
+	require.NotContains(t, err.Error(), "x.ini:5")
+}
+
 func TestExamplesAreValid(t *testing.T) {
 	tests := []struct {
 		file string
