Check every agent of a script, once

Seen: mistakes in an agent that no step runs, or in steps of a missing agent, were not reported; those of an agent that two steps run were reported twice.

Cause: agents were read where a step runs them, once for each such step. A script whose agents each run the next one in two steps took time exponential in their number.

Evidence: TestScriptsReportEveryErrorOnce failed for an agent that no step runs ("An error is expected but got nil"), for two steps (each problem twice), for an agent that runs itself and for the steps of a missing agent.

Fix: an agent is read once and its script kept; agents and steps that remain after that are read for their problems.

Looked elsewhere: sections of configurations are all read.

--- a/adapter/inifile/problem_test.go
+++ b/adapter/inifile/problem_test.go
@@ -82,3 +82,32 @@
 	require.ErrorContains(t, err, `names model "m"`)
 	require.ErrorContains(t, err, "c.ini:7: [drain] endpoint: unknown key")
 }
+
+// TestScriptsReportEveryErrorOnce checks that the steps of an agent are checked whether no
+// step, one or several run it.
+func TestScriptsReportEveryErrorOnce(t *testing.T) {
+	const head = "[program]\nclass = a\n[step \"x\"]\nuser = hello\n"
+	const agent = "[agent \"b\"]\nclass = a\nbudgt = 3\n[step \"b/y\"]\nuser = hello\nmax-tokens = 0\n"
+	const runs = "[step \"one\"]\naction = agent\nagent = b\n"
+	tests := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{name: "agent that no step runs", text: head + agent, want: []string{"7 agent \"b\" budgt", "10 step \"b/y\" max-tokens"}},
+		{name: "agent that a step runs", text: head + agent + runs, want: []string{"7 agent \"b\" budgt", "10 step \"b/y\" max-tokens"}},
+		{name: "agent that two steps run", text: head + agent + runs + strings.Replace(runs, "one", "two", 1), want: []string{"7 agent \"b\" budgt", "10 step \"b/y\" max-tokens"}},
+		{name: "agent that runs itself", text: head + agent + strings.Replace(runs, "one", "b/one", 1), want: []string{"7 agent \"b\" budgt", "13 step \"b/one\" agent", "10 step \"b/y\" max-tokens"}},
+		{name: "steps of a missing agent", text: head + "[step \"c/y\"]\nuser = hello\nmax-tokens = 0\n", want: []string{"5 step \"c/y\" ", "7 step \"c/y\" max-tokens"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := inifile.ReadScript("x.ini", []byte(test.text))
+			var got []string
+			for _, p := range problems(t, err) {
+				got = append(got, fmt.Sprintf("%d %s %s", p.Line(), p.Section(), p.Key()))
+			}
+			require.Equal(t, test.want, got, "%v", err)
+		})
+	}
+}
--- a/adapter/inifile/script.go
+++ b/adapter/inifile/script.go
@@ -1,6 +1,7 @@
 package inifile
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -20,7 +21,9 @@
 // steps; steps without an agent belong to [program]. The error is an *Error.
 func ReadScript(fileName string, text []byte) (*script.Script, error) {
 	f := parseFile(fileName, text)
-	r := &scriptReader{file: f, agentSections: map[string]*section{}, stepSectionsByAgent: map[string][]namedSection{}}
+	r := &scriptReader{
+		file: f, agentSections: map[string]*section{}, stepSectionsByAgent: map[string][]namedSection{}, scriptByAgent: map[string]*script.Script{},
+	}
 	for _, s := range f.sectionsOfKind("agent") {
 		r.agentSections[s.name] = s.section
 	}
@@ -35,11 +38,7 @@
 		f.addProblem("program", "", "", "missing section")
 	}
 	parsed := r.readScript(f.section("program"), "")
-	for agentName, steps := range r.stepSectionsByAgent {
-		if _, ok := r.agentSections[agentName]; agentName != "" && !ok {
-			steps[0].addProblem("", "", "belongs to an agent, but the section [agent \""+agentName+"\"] is missing")
-		}
-	}
+	r.checkOtherAgents()
 	if err := f.checkSections("read script", "[program]", `[step "NAME"]`, `[agent "NAME"]`); err != nil {
 		return nil, err
 	}
@@ -54,11 +53,31 @@
 	// stepSectionsByAgent holds the [step] sections in the order of the file; those of
 	// the program are under the empty name.
 	stepSectionsByAgent map[string][]namedSection
+	// scriptByAgent holds the agents that have been read, by name.
+	scriptByAgent map[string]*script.Script
 	// activeAgents holds the agents that are being read, from the outermost to the
 	// innermost; an agent that is already in it would run itself.
 	activeAgents []string
 }
 
+// checkOtherAgents reads the agents that no step of the program runs, and the steps of
+// agents that are missing, for the problems in them.
+func (r *scriptReader) checkOtherAgents() {
+	for _, agentName := range slices.Sorted(maps.Keys(r.agentSections)) {
+		r.readAgentOnce(agentName)
+	}
+	for _, agentName := range slices.Sorted(maps.Keys(r.stepSectionsByAgent)) {
+		if _, ok := r.agentSections[agentName]; agentName == "" || ok {
+			continue
+		}
+		steps := r.stepSectionsByAgent[agentName]
+		steps[0].addProblem("", "", "belongs to an agent, but the section [agent \""+agentName+"\"] is missing")
+		for _, step := range steps {
+			r.readStep(step)
+		}
+	}
+}
+
 // readScript parses the script of an agent, or of the program if agentName is empty.
 func (r *scriptReader) readScript(s *section, agentName string) *script.Script {
 	config := script.Config{
@@ -100,8 +119,7 @@
 // readAgent parses the sub-agent that a step runs.
 func (r *scriptReader) readAgent(stepSection namedSection) *script.Script {
 	agentName := stepSection.requiredText("agent", "the name of an [agent] section")
-	agentSection, ok := r.agentSections[agentName]
-	if !ok {
+	if _, ok := r.agentSections[agentName]; !ok {
 		stepSection.addProblem("agent", agentName, `the name of an [agent "NAME"] section`)
 		return nil
 	}
@@ -109,9 +127,19 @@
 		stepSection.addProblem("agent", agentName, "an agent must not run itself, directly or through other agents")
 		return nil
 	}
+	return r.readAgentOnce(agentName)
+}
+
+// readAgentOnce returns the script of an agent, which it parses at the first call.
+func (r *scriptReader) readAgentOnce(agentName string) *script.Script {
+	if parsed, ok := r.scriptByAgent[agentName]; ok {
+		return parsed
+	}
 	r.activeAgents = append(r.activeAgents, agentName)
 	defer func() { r.activeAgents = r.activeAgents[:len(r.activeAgents)-1] }()
-	return r.readScript(agentSection, agentName)
+	parsed := r.readScript(r.agentSections[agentName], agentName)
+	r.scriptByAgent[agentName] = parsed
+	return parsed
 }
 
 func readMessages(s *section) []program.Message {
