Wait for the served requests before the channel of the dispatch test is closed

Seen: go test -race ./dispatch, "WARNING: DATA RACE", a write by close in TestQueueServesByRankThenSlack after a read by the send of a request.

Cause: the test slept until all requests had been served. The fake clock moves on when all goroutines are blocked, but a sleep orders nothing for the memory model. synctest.Wait does.

The code that is tested had no part in it, and the test requires the same.

Looked elsewhere: the whole of go test -race ./... reported no other race; the channels that other tests close are closed by their senders or after a WaitGroup.

--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -47,6 +47,7 @@
 		require.Equal(t, 4, q.Waiting("s"))
 		d.Release(occupying)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		close(served)
 		var order []string
 		for name := range served {
