Let restart_needed of SIGHUP know every setting

Seen: after SIGHUP a front logged restart_needed=false for a changed name, domain, listener, number of shards, share of processors, rate of writes or log level, though all of them are read at the start only.

Cause: three settings were compared by name, and later ones were not added.

Evidence: TestHangupReportsEveryChangedSetting changes every setting of the example files in turn. With the three comparisons it failed at the first setting of a front, "name = front-2: expected true, actual false".

Fix: Settings.Equal compares all that was read, so that a new setting is compared without being named. The test fails for a setting of the examples that it does not change. The contents of certificate files are left out, as they are looked at while the process runs.

Looked elsewhere: this is the only comparison of settings.

--- a/adapter/inifile/settings.go
+++ b/adapter/inifile/settings.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 
@@ -27,9 +28,11 @@
 type Settings struct {
 	daemon daemon.Config
 	// front is nil unless the role is front; daemon is not filled in then.
-	front     *daemon.FrontConfig
-	logLevel  string
-	logFormat string
+	front *daemon.FrontConfig
+	// certificateFiles is what daemon.Certificates was loaded from.
+	certificateFiles certificate.Config
+	logLevel         string
+	logFormat        string
 }
 
 // Daemon returns the configuration of an entry or endpoint process, without a logger. It is
@@ -46,6 +49,16 @@
 // LogFormat returns the format of logged lines: json or console.
 func (s *Settings) LogFormat() string { return s.logFormat }
 
+// Equal reports whether both settings have the same effect. The contents of the certificate
+// files are left out.
+func (s *Settings) Equal(other *Settings) bool {
+	a, b := *s, *other
+	for _, config := range []*daemon.Config{&a.daemon, &b.daemon} {
+		config.Parse, config.Certificates = nil, nil
+	}
+	return reflect.DeepEqual(a, b)
+}
+
 // ReadSettingsFile reads and parses the settings file at a path. The error is an *Error if
 // the file could be read but is invalid.
 func ReadSettingsFile(path string) (*Settings, error) {
@@ -93,7 +106,7 @@
 	readProcess(f, &settings.daemon)
 	readPlatform(f, &settings.daemon)
 	readLog(f, settings)
-	readTLS(f, &settings.daemon)
+	readTLS(f, settings)
 	settings.daemon.OperatorKeys = readKeys(f, "operators", true)
 	knownSections := []string{"[process]", "[listen]", "[platform]", "[log]", "[operators]", "[tls]"}
 	switch settings.daemon.Role {
@@ -145,7 +158,7 @@
 
 // readTLS loads the certificate of the process. Without the section [tls] all listeners
 // use plain TCP.
-func readTLS(f *file, processConfig *daemon.Config) {
+func readTLS(f *file, settings *Settings) {
 	if !f.hasSection("tls") {
 		return
 	}
@@ -164,7 +177,7 @@
 		s.addProblem("", "", "can't load certificate: "+err.Error())
 		return
 	}
-	processConfig.Certificates = certificates
+	settings.certificateFiles, settings.daemon.Certificates = files, certificates
 }
 
 func readEntry(f *file, config *daemon.Config) {
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -41,8 +41,8 @@
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
 	}
-	if front := settings.Front(); front != nil {
-		return runFront(ctx, c.String("settings"), *front, logger)
+	if settings.Front() != nil {
+		return runFront(ctx, c.String("settings"), settings, logger)
 	}
 	config := settings.Daemon()
 	config.Logger = logger
@@ -54,14 +54,19 @@
 }
 
 // runFront runs a front until ctx is canceled. On SIGHUP it checks the settings file again.
-func runFront(ctx context.Context, settingsPath string, config daemon.FrontConfig, logger *zap.Logger) error {
+func runFront(ctx context.Context, settingsPath string, settings *inifile.Settings, logger *zap.Logger) error {
+	config := *settings.Front()
 	config.Logger = logger
 	defer func() { _ = logger.Sync() }()
 	front, err := daemon.NewFront(config)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
 	}
-	go recheckSettingsOnHangup(ctx, settingsPath, config)
+	hangups := make(chan os.Signal, 1)
+	// There is no signal.Stop: it would restore the default action, and a SIGHUP during the
+	// shutdown would kill the process.
+	signal.Notify(hangups, syscall.SIGHUP)
+	go recheckSettings(ctx, hangups, settingsPath, settings, logger)
 	return front.Run(ctx)
 }
 
@@ -81,28 +86,21 @@
 	}
 }
 
-// recheckSettingsOnHangup reads the settings file on each SIGHUP and logs whether the store
-// address, the memory limit or the grace period differ from those in use, which needs a
-// restart. It changes nothing in the running process: its name and listeners stay for its
-// lifetime, so that no connection is lost.
-func recheckSettingsOnHangup(ctx context.Context, settingsPath string, config daemon.FrontConfig) {
-	hangups := make(chan os.Signal, 1)
-	// There is no signal.Stop: it would restore the default action, and a SIGHUP during the
-	// shutdown would kill the process.
-	signal.Notify(hangups, syscall.SIGHUP)
+// recheckSettings reads the settings file on each hangup and logs whether it differs from the
+// settings in use, which needs a restart. It changes nothing in the running process: its name
+// and listeners stay for its lifetime, so that no connection is lost.
+func recheckSettings(ctx context.Context, hangups <-chan os.Signal, path string, inUse *inifile.Settings, logger *zap.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
 		}
-		settings, err := inifile.ReadSettingsFile(settingsPath)
+		next, err := inifile.ReadSettingsFile(path)
 		if err != nil {
-			config.Logger.Error("can't read settings file, the settings read at start stay in use", zap.String("path", settingsPath), zap.Error(err))
+			logger.Error("can't read settings file, the settings read at start stay in use", zap.String("path", path), zap.Error(err))
 			continue
 		}
-		next := settings.Front()
-		restartNeeded := next == nil || next.StoreAddress != config.StoreAddress || next.MemoryMB != config.MemoryMB || next.GracePeriod != config.GracePeriod
-		config.Logger.Info("settings read", zap.String("path", settingsPath), zap.Bool("restart_needed", restartNeeded))
+		logger.Info("settings read", zap.String("path", path), zap.Bool("restart_needed", !next.Equal(inUse)))
 	}
 }
--- /dev/null
+++ b/cmd/lavendervaled/run_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/lavendervale/lavendervale/adapter/inifile"
+	"github.com/lavendervale/lavendervale/examples"
+)
+
+// TestHangupReportsEveryChangedSetting changes each setting of the example files.
+func TestHangupReportsEveryChangedSetting(t *testing.T) {
+	tests := []struct {
+		file string
+		// changes holds the settings in the order of the file, each changed.
+		changes []string
+	}{
+		{file: "settings-front.ini", changes: []string{
+			"role = service", "name = front-2", "domain = b", "grace = 9s", "memory = 257", "processors = 0.9",
+			"callers = 127.0.0.1:1", "ready = 127.0.0.1:1", "peers = 127.0.0.1:1", "metrics = 127.0.0.1:1",
+			"address = 127.0.0.1:1", "shards = 13", "writes = 801", "level = warn", "format = console",
+		}},
+		{file: "settings-entry.ini", changes: []string{
+			"name = entry-2", "domain = domain-b", "role = engine", "stop-timeout = 6m", "callers = 127.0.0.1:1", "admin = 127.0.0.1:1",
+			"address = 127.0.0.1:1", "key = " + strings.Repeat("00", 32), "omuti = another-key-of-omuti",
+			"head = another-key-of-head", "level = warn", "format = console",
+		}},
+		{file: "settings-engine.ini", changes: []string{
+			"name = model-2", "domain = domain-b", "role = service", "peers = 127.0.0.1:1", "admin = 127.0.0.1:1",
+			"address = 127.0.0.1:1", "address = 127.0.0.1:1", "slots = 17", "memory = 1500001", "head = another-key-of-head",
+		}},
+		{file: "settings-service.ini", changes: []string{
+			"name = payment-2", "domain = domain-c", "role = engine", "peers = 127.0.0.1:1", "admin = 127.0.0.1:1",
+			"name = order", "address = 127.0.0.1:1", "timeout = 31s", "slots = 33", "head = another-key-of-head",
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.file, func(t *testing.T) {
+			text, err := examples.Files.ReadFile(test.file)
+			require.NoError(t, err)
+			require.Equal(t, []any{false}, hangUp(t, string(text), "; a comment\n"+string(text)))
+			lines := strings.Split(string(text), "\n")
+			changes := test.changes
+			for i, line := range lines {
+				key, _, ok := strings.Cut(line, " = ")
+				if !ok || line[0] == '#' {
+					continue
+				}
+				require.NotEmpty(t, changes, "no change of %q", line)
+				change := changes[0]
+				changes = changes[1:]
+				require.True(t, strings.HasPrefix(change, key+" = ") && change != line, "%q is no change of %q", change, line)
+				changed := append([]string(nil), lines...)
+				changed[i] = change
+				got := hangUp(t, string(text), strings.Join(changed, "\n"))
+				if key == "role" {
+					require.Equal(t, []any{"read settings"}, got, "a file for another role is not valid")
+					continue
+				}
+				require.Equal(t, []any{true}, got, change)
+			}
+			require.Empty(t, changes)
+		})
+	}
+}
+
+// hangUp makes a process that started with one text of its settings file read another one.
+// It returns restart_needed of each line logged, or the operation of its error.
+func hangUp(t *testing.T, before, after string) []any {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	require.NoError(t, os.WriteFile(path, []byte(before), 0o600))
+	settings, err := inifile.ReadSettingsFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, []byte(after), 0o600))
+	core, logs := observer.New(zap.InfoLevel)
+	ctx, cancel := context.WithCancel(t.Context())
+	hangups := make(chan os.Signal)
+	var recheck sync.WaitGroup
+	recheck.Go(func() { recheckSettings(ctx, hangups, path, settings, zap.New(core)) })
+	hangups <- syscall.SIGHUP
+	cancel()
+	recheck.Wait()
+	var got []any
+	for _, line := range logs.All() {
+		fields := line.ContextMap()
+		if text, ok := fields["error"].(string); ok {
+			op, _, _ := strings.Cut(text, ":")
+			got = append(got, op)
+			continue
+		}
+		got = append(got, fields["restart_needed"])
+	}
+	return got
+}
