Let SIGHUP read the settings of every role again

Seen: SIGHUP ended an entry and the processes beside engines and services at once, with the calls in progress; a front read its settings and said whether a restart is needed. By reading: a front ended too if the signal came before its listeners were open.

Cause: the signal was caught in a goroutine that only fronts start, after all else; the default action of SIGHUP ends a process.

Evidence: TestHangupStopsNoProcess failed for entry, engine and service with "the process ended at SIGHUP".

Fix: the signal is caught before the settings are read, for every role.

Looked elsewhere: SIGINT and SIGTERM are caught in main, before anything else.

--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -32,7 +32,12 @@
 	}
 }
 
+// runProcess runs a process until ctx is canceled. On SIGHUP it checks the settings file again.
 func runProcess(ctx context.Context, c *cli.Command) error {
+	hangups := make(chan os.Signal, 1)
+	// There is no signal.Stop: it would restore the default action, and a SIGHUP during the
+	// shutdown would kill the process.
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := inifile.ReadSettingsFile(c.String("settings"))
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
@@ -41,8 +46,9 @@
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
 	}
+	go recheckSettings(ctx, hangups, c.String("settings"), settings, logger)
 	if settings.Front() != nil {
-		return runFront(ctx, c.String("settings"), settings, logger)
+		return runFront(ctx, *settings.Front(), logger)
 	}
 	config := settings.Daemon()
 	config.Logger = logger
@@ -53,20 +59,14 @@
 	return process.Run(ctx)
 }
 
-// runFront runs a front until ctx is canceled. On SIGHUP it checks the settings file again.
-func runFront(ctx context.Context, settingsPath string, settings *inifile.Settings, logger *zap.Logger) error {
-	config := *settings.Front()
+// runFront runs a front until ctx is canceled.
+func runFront(ctx context.Context, config daemon.FrontConfig, logger *zap.Logger) error {
 	config.Logger = logger
 	defer func() { _ = logger.Sync() }()
 	front, err := daemon.NewFront(config)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
 	}
-	hangups := make(chan os.Signal, 1)
-	// There is no signal.Stop: it would restore the default action, and a SIGHUP during the
-	// shutdown would kill the process.
-	signal.Notify(hangups, syscall.SIGHUP)
-	go recheckSettings(ctx, hangups, settingsPath, settings, logger)
 	return front.Run(ctx)
 }
 
--- a/cmd/lavendervaled/run_test.go
+++ b/cmd/lavendervaled/run_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +20,49 @@
 	"github.com/lavendervale/lavendervale/examples"
 )
 
+// anyPort matches the listeners in the example files.
+var anyPort = regexp.MustCompile(`(?m)^(callers|ready|peers|metrics|admin) = .*`)
+
+// runSettingsEnv names the settings file that the test binary runs a process with, in place of
+// the tests.
+const runSettingsEnv = "LAVENDERVALED_TEST_SETTINGS"
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(runSettingsEnv); path != "" {
+		os.Args = []string{"lavendervaled", "run", "--settings", path}
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// TestHangupStopsNoProcess sends SIGHUP to a process of each role, which must read its settings
+// again and end at SIGTERM only.
+func TestHangupStopsNoProcess(t *testing.T) {
+	for _, role := range []string{"front", "entry", "engine", "service"} {
+		t.Run(role, func(t *testing.T) {
+			text, err := examples.Files.ReadFile("settings-" + role + ".ini")
+			require.NoError(t, err)
+			path := filepath.Join(t.TempDir(), "settings.ini")
+			require.NoError(t, os.WriteFile(path, anyPort.ReplaceAll(text, []byte("$1 = 127.0.0.1:0")), 0o600))
+			process := exec.CommandContext(t.Context(), os.Args[0])
+			process.Env = append(os.Environ(), runSettingsEnv+"="+path)
+			output, err := process.StdoutPipe()
+			require.NoError(t, err)
+			require.NoError(t, process.Start())
+			lines := bufio.NewScanner(output)
+			require.True(t, lines.Scan(), "the process ended before its first line")
+			require.NoError(t, process.Process.Signal(syscall.SIGHUP))
+			for !strings.Contains(lines.Text(), "settings read") {
+				require.True(t, lines.Scan(), "the process ended at SIGHUP")
+			}
+			require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+			for lines.Scan() {
+			}
+			require.NoError(t, process.Wait())
+		})
+	}
+}
+
 // TestHangupReportsEveryChangedSetting changes each setting of the example files.
 func TestHangupReportsEveryChangedSetting(t *testing.T) {
 	tests := []struct {
