--- a/adapter/inifile/lines.go
+++ b/adapter/inifile/lines.go
@@ -1,6 +1,7 @@
 package inifile
 
 import (
+	"strconv"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -27,6 +28,9 @@
 	text []string
 	// section is the one that the lines being read belong to.
 	section string
+	// numbered counts the keys of the section that are given as "-"; package ini names them
+	// by their numbers.
+	numbered int
 	// skipping is set from a header without a name to the next header.
 	skipping  bool
 	bySection map[string]int
@@ -38,7 +42,7 @@
 // readLines finds the sections and keys in the text of a file.
 func readLines(text string) *lines {
 	l := &lines{
-		text: strings.Split(text, "\n"), section: ini.DefaultSection,
+		text: strings.Split(trimByteOrderMarks(text), "\n"), section: ini.DefaultSection,
 		bySection: map[string]int{}, byKey: map[keyLocation]int{},
 	}
 	for i := 0; i < len(l.text); i++ {
@@ -56,6 +60,20 @@
 	return l
 }
 
+// trimByteOrderMarks removes the byte order marks that package ini skips before a text.
+func trimByteOrderMarks(text string) string {
+	for {
+		trimmed := text
+		for _, mark := range []string{"\xef\xbb\xbf", "\xfe\xff", "\xff\xfe"} {
+			trimmed = strings.TrimPrefix(trimmed, mark)
+		}
+		if len(trimmed) == len(text) {
+			return text
+		}
+		text = trimmed
+	}
+}
+
 // valid returns the text of the file without its invalid lines.
 func (l *lines) valid() string { return strings.Join(l.text, "\n") }
 
@@ -93,7 +111,7 @@
 		l.skipping = true
 		return
 	}
-	l.section = name
+	l.section, l.numbered = name, 0
 	if _, ok := l.bySection[name]; !ok {
 		l.bySection[name] = i + 1
 	}
@@ -106,6 +124,10 @@
 		l.replaceInvalid(i, "neither a section, a comment nor a line of the form KEY = VALUE", "")
 		return i
 	}
+	if key == "-" {
+		l.numbered++
+		key = "#" + strconv.Itoa(l.numbered)
+	}
 	l.byKey[keyLocation{l.section, key}] = i + 1
 	for _, quote := range []string{tripleQuote, backQuote} {
 		quoted, ok := strings.CutPrefix(value, quote)
