--- a/adapter/record/codec_test.go
+++ b/adapter/record/codec_test.go
@@ -7,8 +7,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
+	"github.com/lavendervale/lavendervale/entry"
 	"github.com/lavendervale/lavendervale/history"
 	"github.com/lavendervale/lavendervale/program"
+	"github.com/lavendervale/lavendervale/quarantine"
 )
 
 var testProgram = program.NewID("caller", "key")
@@ -87,3 +89,46 @@
 		}
 	})
 }
+
+// FuzzDecodeCrash checks that DecodeCrash does not panic for any input, and that an event
+// decoded without an error is the same after encoding.
+func FuzzDecodeCrash(f *testing.F) {
+	data, err := record.EncodeCrash(quarantine.Event{Request: program.Digest{1, 2}, Cleared: true})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte{0x12, 0xff})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		event, err := record.DecodeCrash(data)
+		if err != nil {
+			return
+		}
+		encoded, err := record.EncodeCrash(event)
+		require.NoError(t, err)
+		again, err := record.DecodeCrash(encoded)
+		require.NoError(t, err)
+		require.Equal(t, event, again)
+	})
+}
+
+// FuzzDecodePublication checks that Decode does not panic for any input, and that a
+// publication decoded without an error is the same after encoding.
+func FuzzDecodePublication(f *testing.F) {
+	codec := record.PublicationCodec{}
+	data, err := codec.Encode(entry.Publication{Base: 3, Author: "head", Text: "[drain]\n"})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte{0x1a, 0x01, 0xff})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		publication, err := codec.Decode(data)
+		if err != nil {
+			return
+		}
+		encoded, err := codec.Encode(publication)
+		require.NoError(t, err)
+		again, err := codec.Decode(encoded)
+		require.NoError(t, err)
+		require.Equal(t, publication, again)
+	})
+}
