Read the home of a program before its order runs in the test of dev

Seen: go test -race ./..., the third run, "WARNING: DATA RACE" in TestOrderIsSentOnceWhenItsHomeIsDisconnected: a write by Program.call after a read by Program.Endpoint. Two whole runs before had not shown it.

Cause: a Program is not safe for concurrent use, as its comment says; the test asked it for its home while the order ran in another goroutine. An order that ended first would have named the service in place of the home.

What the test requires is the same.

Looked elsewhere: the other tests of dev read the home before a call or after it.

--- a/dev/fault_test.go
+++ b/dev/fault_test.go
@@ -100,12 +100,13 @@
 	p := startProgram(t, cluster, "entry-1", "quote")
 	_, err := p.Ask(context.Background(), userMessage("first"), 8, nil)
 	require.NoError(t, err)
+	home := p.Endpoint()
 	done := make(chan error, 1)
 	go func() {
 		_, err := p.Order(context.Background(), "payment", "pay", []byte(`{"amount":5}`))
 		done <- err
 	}()
-	cluster.Relay(p.Endpoint()).Disconnect()
+	cluster.Relay(home).Disconnect()
 	require.NoError(t, <-done)
 	require.Len(t, cluster.Service("payment").Effects(), 1)
 	for key, n := range cluster.Service("payment").Effects() {
