--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -294,13 +294,15 @@
 }
 
 // TestRequestEndsWithItsContext checks that a request ends with its context when the other
-// process accepts a stream but reads nothing from it.
+// process accepts a stream but reads only the first byte of the request.
 func TestRequestEndsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p := newPool(t, func(conn net.Conn) {
 		if s, err := yamux.Server(conn, session.YamuxConfig()); err == nil {
-			_, _ = s.AcceptStream()
+			if stream, err := s.AcceptStream(); err == nil {
+				_, _ = stream.Read(make([]byte, 1))
+			}
 			cancel()
 		}
 	})
