--- a/adapter/inifile/section.go
+++ b/adapter/inifile/section.go
@@ -1,7 +1,9 @@
 package inifile
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -34,6 +36,19 @@
 	s.file.addProblem(s.name, key, value, message)
 }
 
+// addProblemAt adds a problem of a line whose key must not be named.
+func (s *section) addProblemAt(line int, message string) {
+	s.file.problems = append(s.file.problems, Problem{file: s.file.name, line: line, section: s.name, message: message})
+}
+
+// sortedByLine sorts keys of the section by their lines.
+func (s *section) sortedByLine(keys []string) []string {
+	slices.SortFunc(keys, func(a, b string) int {
+		return cmp.Compare(s.file.lines.of(s.name, a), s.file.lines.of(s.name, b))
+	})
+	return keys
+}
+
 // requiredText returns the value of a key that must be present and not empty; expected
 // describes the value in the message if it is missing.
 func (s *section) requiredText(key, expected string) string {
@@ -160,7 +175,8 @@
 	return values
 }
 
-// checkKeys adds a problem for each key that no code asked for.
+// checkKeys adds a problem for each key that no code asked for. Messages omit the values,
+// as the key may be the mistyped one of a secret.
 func (s *section) checkKeys() {
 	if s.ini == nil {
 		return
@@ -172,7 +188,7 @@
 	sort.Strings(knownKeys)
 	for _, k := range s.ini.Keys() {
 		if !s.keysRead[k.Name()] {
-			s.addProblem(k.Name(), k.Value(), "unknown key, known keys are "+strings.Join(knownKeys, ", "))
+			s.addProblem(k.Name(), "", "unknown key, known keys are "+strings.Join(knownKeys, ", "))
 		}
 	}
 }
--- a/adapter/inifile/settings.go
+++ b/adapter/inifile/settings.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/hex"
+	"errors"
+	"maps"
 	"math"
 	"os"
+	"reflect"
+	"slices"
+	"strconv"
 
 	"github.com/lavendervale/lavendervale/adapter/caller"
 	"github.com/lavendervale/lavendervale/adapter/certificate"
@@ -12,13 +17,22 @@
 	"github.com/lavendervale/lavendervale/fleet"
 )
 
+// frontRole is the value of role in the settings of a front, a role that fleet.Role does not
+// include.
+const frontRole = "front"
+
+// roles holds the values of role.
+var roles = []string{fleet.EntryRole.String(), fleet.EngineRole.String(), fleet.ServiceRole.String(), frontRole}
+
 // Settings holds the settings of one process.
 type Settings struct {
 	daemon daemon.Config
 	// front is nil unless the role is front; daemon is not filled in then.
-	front     *daemon.FrontConfig
-	logLevel  string
-	logFormat string
+	front *daemon.FrontConfig
+	// certificateFiles is what daemon.Certificates was loaded from.
+	certificateFiles certificate.Config
+	logLevel         string
+	logFormat        string
 }
 
 // Daemon returns the configuration of an entry or endpoint process, without a logger. It is
@@ -35,6 +49,16 @@
 // LogFormat returns the format of logged lines: json or console.
 func (s *Settings) LogFormat() string { return s.logFormat }
 
+// Equal reports whether both settings have the same effect. The contents of the certificate
+// files are left out.
+func (s *Settings) Equal(other *Settings) bool {
+	a, b := *s, *other
+	for _, config := range []*daemon.Config{&a.daemon, &b.daemon} {
+		config.Parse, config.Certificates = nil, nil
+	}
+	return reflect.DeepEqual(a, b)
+}
+
 // ReadSettingsFile reads and parses the settings file at a path. The error is an *Error if
 // the file could be read but is invalid.
 func ReadSettingsFile(path string) (*Settings, error) {
@@ -49,14 +73,40 @@
 // error is an *Error.
 func ReadSettings(fileName string, text []byte) (*Settings, error) {
 	f := parseFile(fileName, text)
-	settings := &Settings{daemon: daemon.Config{Parse: ParseConfiguration}}
-	if isFront(f) {
-		return readFront(f, settings)
+	if role := f.section("process").enum("role", "", roles...); role != "" {
+		return readRole(f, role)
+	}
+	return nil, checkWithoutRole(f)
+}
+
+// checkWithoutRole returns the problems of settings whose role is missing or wrong. Which
+// sections and keys are valid depends on the role, so it checks the file for the role with
+// the fewest problems.
+func checkWithoutRole(f *file) error {
+	var fewest *Error
+	for _, role := range roles {
+		candidate := f.clone()
+		roleProblem := &candidate.problems[len(candidate.problems)-1]
+		roleProblem.message += "; the rest is checked as the settings of role " + role
+		var found *Error
+		if _, err := readRole(candidate, role); errors.As(err, &found) && (fewest == nil || len(found.problems) < len(fewest.problems)) {
+			fewest = found
+		}
 	}
+	return fewest
+}
+
+// readRole parses the settings of a process with the given role.
+func readRole(f *file, role string) (*Settings, error) {
+	if role == frontRole {
+		return readFront(f)
+	}
+	settings := &Settings{daemon: daemon.Config{Parse: ParseConfiguration}}
+	settings.daemon.Role, _ = fleet.ParseRole(role)
 	readProcess(f, &settings.daemon)
 	readPlatform(f, &settings.daemon)
 	readLog(f, settings)
-	readTLS(f, &settings.daemon)
+	readTLS(f, settings)
 	settings.daemon.OperatorKeys = readKeys(f, "operators", true)
 	knownSections := []string{"[process]", "[listen]", "[platform]", "[log]", "[operators]", "[tls]"}
 	switch settings.daemon.Role {
@@ -80,8 +130,7 @@
 	processSection := f.section("process")
 	config.Name = processSection.requiredText("name", "a name that is unique among the instances")
 	config.Domain = processSection.requiredText("domain", "the failure domain of the process")
-	role := processSection.enum("role", "", fleet.EntryRole.String(), fleet.EngineRole.String(), fleet.ServiceRole.String(), frontRole)
-	config.Role, _ = fleet.ParseRole(role)
+	processSection.keysRead["role"] = true
 	config.StopTimeout = processSection.duration("stop-timeout", daemon.DefaultStopTimeout)
 	processSection.checkKeys()
 	listenSection := f.section("listen")
@@ -109,7 +158,7 @@
 
 // readTLS loads the certificate of the process. Without the section [tls] all listeners
 // use plain TCP.
-func readTLS(f *file, processConfig *daemon.Config) {
+func readTLS(f *file, settings *Settings) {
 	if !f.hasSection("tls") {
 		return
 	}
@@ -128,7 +177,7 @@
 		s.addProblem("", "", "can't load certificate: "+err.Error())
 		return
 	}
-	processConfig.Certificates = certificates
+	settings.certificateFiles, settings.daemon.Certificates = files, certificates
 }
 
 func readEntry(f *file, config *daemon.Config) {
@@ -158,20 +207,24 @@
 }
 
 // readKeys reads a section of lines NAME = KEY and returns the secret keys by the name of
-// their owner. Messages omit the keys.
+// their owner. Messages omit the keys, and the names too, as a line may hold KEY = NAME.
 func readKeys(f *file, sectionName string, required bool) map[string]string {
 	s := f.section(sectionName)
 	keys := s.unreadValues()
-	for owner, key := range keys {
-		if len(key) < caller.MinKeyBytes {
-			s.addProblem(owner, "", "the key must have at least 16 bytes")
-		}
-	}
 	if required && len(keys) == 0 {
 		s.addProblem("", "", "missing, expected lines of the form NAME = KEY")
 	}
-	if _, err := caller.NewKeyring(keys); err != nil && len(f.problems) == 0 {
-		s.addProblem("", "", err.Error())
+	lineByKey := map[string]int{}
+	for _, owner := range s.sortedByLine(slices.Collect(maps.Keys(keys))) {
+		key, line := keys[owner], f.lines.of(sectionName, owner)
+		if len(key) < caller.MinKeyBytes {
+			s.addProblemAt(line, "the key must have at least "+strconv.Itoa(caller.MinKeyBytes)+" bytes")
+		}
+		if otherLine, ok := lineByKey[key]; ok {
+			s.addProblemAt(line, "the key is the same as that of line "+strconv.Itoa(otherLine)+", keys must differ")
+			continue
+		}
+		lineByKey[key] = line
 	}
 	return keys
 }
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -110,12 +110,9 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := x.readReply(replyTimeout)
+	reply, err := x.readReplyWhileAlive()
 	if err != nil {
 		x.close()
-		if isUnreachable(err) && ctx.Err() == nil && m.probe(home) {
-			err = turn.Errorf("request to front "+home.name, turn.KindUnavailable, "the front responds to pings but did not answer: %w", err)
-		}
 		return nil, err
 	}
 	admission := &remoteAdmission{exchange: x, opened: reply.GetOpened(), confirmed: make(chan struct{})}
@@ -153,8 +150,9 @@
 }
 
 // End settles an attempt at the home of its program; a completed turn is durable when
-// it returns nil. After any failure of another front it retries, at the new home when that
-// has changed, until ctx ends; the error is then of turn.KindUnavailable.
+// it returns nil. After a failure it retries, at the new home when that has changed, until
+// ctx ends; the error is then of turn.KindUnavailable. It is of turn.KindNotFound when no
+// shard holds the turn that was continued.
 func (m *Mesh) End(ctx context.Context, r turn.EndRequest) error {
 	end := &meshpb.End{Program: r.Program, Session: r.Session, Attempt: r.Attempt, Tokens: r.DeliveredTokens, Endpoint: r.Endpoint}
 	if r.Completed != nil {
@@ -162,12 +160,14 @@
 	}
 	for {
 		home := m.homeOfProgram(ctx, r.Program)
+		var err error
 		if home.name == m.config.Name {
-			return m.shardSet.End(ctx, r)
+			err = m.shardSet.End(ctx, r)
+		} else {
+			err = m.roundTripWhileAlive(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: end}})
 		}
-		err := m.roundTripWhileAlive(ctx, home, &meshpb.Request{Body: &meshpb.Request_End{End: end}})
-		if err == nil {
-			return nil
+		if err == nil || turn.KindOf(err) == turn.KindNotFound {
+			return err
 		}
 		if ctx.Err() != nil {
 			return turn.Errorf("end turn", turn.KindUnavailable, "the home did not record the end in time: %w", err)
@@ -184,16 +184,13 @@
 // whatever else it has in memory. The result is false without an error only when every
 // front answered that it does not have the turn.
 func (m *Mesh) Find(ctx context.Context, turnID string, excludedShard int) ([]byte, bool, error) {
-	shardsByHome := map[string][]int{}
-	for shard := range m.config.Shards {
-		if shard != excludedShard {
-			name := m.homeOfShard(shard).name
-			shardsByHome[name] = append(shardsByHome[name], shard)
-		}
+	targets := append(m.peers.alive(time.Now()), target{name: m.config.Name})
+	shardsByHome, err := shardsByTarget(targets, m.config.Shards, excludedShard, func(shard int) string { return m.homeOfShard(shard).name })
+	if err != nil {
+		return nil, false, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	targets := append(m.peers.alive(time.Now()), target{name: m.config.Name})
 	results := make(chan findResult, len(targets))
 	for _, t := range targets {
 		go func() { results <- m.findAtFront(ctx, t, turnID, shardsByHome[t.name]) }()
@@ -210,6 +207,27 @@
 	return nil, false, lastErr
 }
 
+// shardsByTarget returns the shards that each target is the home of, without the excluded
+// one. It returns an error of turn.KindUnavailable when the home of a shard is not among the
+// targets, as when it was suspended a moment ago: nobody would search that shard.
+func shardsByTarget(targets []target, shardCount, excludedShard int, homeOf func(shard int) string) (map[string][]int, error) {
+	shards := make(map[string][]int, len(targets))
+	for _, t := range targets {
+		shards[t.name] = nil
+	}
+	for shard := range shardCount {
+		if shard == excludedShard {
+			continue
+		}
+		home := homeOf(shard)
+		if _, ok := shards[home]; !ok {
+			return nil, turn.Errorf("find turn", turn.KindUnavailable, "front %s, the home of shard %d, is no longer alive", home, shard)
+		}
+		shards[home] = append(shards[home], shard)
+	}
+	return shards, nil
+}
+
 // findResult is the reply of one front to a search for a turn.
 type findResult struct {
 	text  []byte
--- a/endpoint/directory_test.go
+++ b/endpoint/directory_test.go
@@ -52,6 +52,33 @@
 	require.Equal(t, 4, slots)
 }
 
+// TestLoadReportOfSilentInstanceExpires guards against the load of an instance that is gone
+// keeping endpoints busy when no other instance sends a report.
+func TestLoadReportOfSilentInstanceExpires(t *testing.T) {
+	tests := []struct {
+		name string
+		// hasRoom reports whether the endpoint seems to have room.
+		hasRoom func(d *endpoint.Directory, now time.Time) bool
+	}{
+		{name: "pick", hasRoom: func(d *endpoint.Directory, now time.Time) bool {
+			_, result := d.Pick(query(), now)
+			return result == endpoint.Picked
+		}},
+		{name: "capacity", hasRoom: func(d *endpoint.Directory, now time.Time) bool {
+			free, _ := d.Capacity("s", now)
+			return free > 0
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDirectory(1)
+			d.UpdatePeerLoads("front-2", []endpoint.Load{{Endpoint: endpoint.Key("e-0"), Running: 2}}, noon)
+			require.False(t, test.hasRoom(d, noon.Add(time.Second)), "a report of a second ago counts")
+			require.True(t, test.hasRoom(d, noon.Add(10*time.Second)))
+		})
+	}
+}
+
 func TestUsabilityOfLeavingEndpoints(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -65,6 +92,32 @@
 			d.Put(e, now)
 		}},
 		{name: "entry gone", change: func(d *endpoint.Directory, now time.Time) { d.Remove("e-0", now) }},
+		{name: "entry gone before a store outage", change: func(d *endpoint.Directory, now time.Time) {
+			d.Remove("e-0", now.Add(-time.Second))
+			d.StoreAvailable(now.Add(-time.Second))
+			d.StoreUnavailable()
+		}},
+		{name: "entry gone before a store outage that has ended", after: time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.Remove("e-0", now.Add(-time.Second))
+			d.StoreAvailable(now.Add(-time.Second))
+			d.StoreUnavailable()
+			d.StoreAvailable(now)
+		}},
+		{name: "entry missing just after the outage, which begins anew", usable: true, after: time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.StoreAvailable(now.Add(-time.Minute))
+			d.StoreUnavailable()
+			d.Remove("e-0", now)
+			d.StoreAvailable(now)
+			d.StoreAvailable(now.Add(400 * time.Millisecond))
+			d.StoreUnavailable()
+		}},
+		{name: "entry still missing after the outage, when another one begins", after: 3 * time.Second, change: func(d *endpoint.Directory, now time.Time) {
+			d.StoreUnavailable()
+			d.Remove("e-0", now)
+			d.StoreAvailable(now)
+			d.StoreAvailable(now.Add(2500 * time.Millisecond))
+			d.StoreUnavailable()
+		}},
 		{name: "entry gone during a store outage", usable: true, change: func(d *endpoint.Directory, now time.Time) {
 			d.StoreUnavailable()
 			d.Remove("e-0", now)
@@ -142,3 +195,92 @@
 	target, result := d.Pick(query(), later)
 	require.Equal(t, endpoint.Picked, result, target.ID())
 }
+
+// largeRegistration returns a registration of e-0 that started the given time after noon
+// and has so many slots that a single request hardly counts.
+func largeRegistration(startedAfter time.Duration) endpoint.Registration {
+	r := registration("e-0")
+	r.Slots, r.StartedUnixMS = 100, noon.Add(startedAfter).UnixMilli()
+	return r
+}
+
+// pick picks an endpoint, which must succeed.
+func pick(t *testing.T, d *endpoint.Directory, now time.Time) endpoint.Target {
+	t.Helper()
+	target, result := d.Pick(query(), now)
+	require.Equal(t, endpoint.Picked, result)
+	return target
+}
+
+// TestResultsOfOldIncarnationDoNotCountForNewOne guards against the requests of an endpoint
+// that has started again under its ID changing the load and the health of the new
+// incarnation. Without a failure, e-0 is picked rather than e-1, which is smaller and in
+// another failure domain.
+func TestResultsOfOldIncarnationDoNotCountForNewOne(t *testing.T) {
+	later := noon.Add(time.Minute)
+	tests := []struct {
+		name string
+		// report reports results of requests of the old incarnation and of the new one.
+		report     func(d *endpoint.Directory, old, current endpoint.Target)
+		wantPicked string
+		// wantRunning is the number of requests that count at the new incarnation.
+		wantRunning int
+	}{
+		{
+			name: "release", wantPicked: "e-0", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, _ endpoint.Target) { d.Release(old) },
+		},
+		{
+			name: "failure", wantPicked: "e-0", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, _ endpoint.Target) { d.RecordFailure(old, true, later) },
+		},
+		{
+			name: "success", wantPicked: "e-1", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, current endpoint.Target) {
+				d.RecordFailure(current, true, later)
+				d.RecordSuccess(old, later)
+			},
+		},
+		{
+			name: "overdue", wantPicked: "e-0", wantRunning: 1,
+			report: func(d *endpoint.Directory, old, current endpoint.Target) {
+				d.RecordSuccess(current, later)
+				d.RecordOverdue(old, later)
+			},
+		},
+		{
+			name: "release of the new one", wantPicked: "e-0",
+			report: func(d *endpoint.Directory, _, current endpoint.Target) { d.Release(current) },
+		},
+		{
+			name: "failure of the new one", wantPicked: "e-1", wantRunning: 1,
+			report: func(d *endpoint.Directory, _, current endpoint.Target) { d.RecordFailure(current, true, later) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := endpoint.NewDirectory()
+			d.Put(largeRegistration(0), noon)
+			old := pick(t, d, noon)
+			d.Put(largeRegistration(time.Second), noon.Add(time.Second))
+			current := pick(t, d, later.Add(-10*time.Millisecond))
+			test.report(d, old, current)
+			free, _ := d.Capacity("s", later)
+			require.Equal(t, test.wantRunning, 100-free)
+			other := registration("e-1")
+			other.Domain, other.Slots = "b", 1
+			d.Put(other, later)
+			require.Equal(t, test.wantPicked, pick(t, d, later).ID())
+		})
+	}
+}
+
+func TestOldIncarnationIsNotUsable(t *testing.T) {
+	d := endpoint.NewDirectory()
+	d.Put(largeRegistration(0), noon)
+	old := pick(t, d, noon)
+	d.Put(largeRegistration(time.Second), noon.Add(time.Second))
+	later := noon.Add(2 * time.Second)
+	require.False(t, d.Usable(old, later))
+	require.True(t, d.Usable(pick(t, d, later), later))
+}
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -40,14 +40,25 @@
 	d.notifyChanged()
 }
 
+// expirePeerLoads removes load reports that have expired from the sums; d.mu must be held.
+func (d *Directory) expirePeerLoads(now time.Time) {
+	if !d.oldestReportAt.IsZero() && now.Sub(d.oldestReportAt) > loadReportTTL {
+		d.sumPeerLoads(now)
+	}
+}
+
 // sumPeerLoads deletes expired load reports and adds up the others; d.mu must be held.
 func (d *Directory) sumPeerLoads(now time.Time) {
 	runningByKey := map[uint64]int{}
+	d.oldestReportAt = time.Time{}
 	for peer, r := range d.peerReports {
 		if now.Sub(r.receivedAt) > loadReportTTL {
 			delete(d.peerReports, peer)
 			continue
 		}
+		if d.oldestReportAt.IsZero() || r.receivedAt.Before(d.oldestReportAt) {
+			d.oldestReportAt = r.receivedAt
+		}
 		for key, n := range r.loads {
 			runningByKey[key] += n
 		}
@@ -57,11 +68,12 @@
 	}
 }
 
-// Release notes that a request counted by Pick is no longer at its endpoint.
+// Release notes that a request counted by Pick is no longer at its endpoint. Like the methods
+// below it does nothing if another incarnation has replaced that endpoint.
 func (d *Directory) Release(t Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.byID[t.ID()]; ok && e.localRunning > 0 {
+	if e, ok := d.find(t); ok && e.localRunning > 0 {
 		e.localRunning--
 		d.notifyChanged()
 	}
@@ -71,7 +83,7 @@
 func (d *Directory) RecordSuccess(t Target, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.byID[t.ID()]; ok {
+	if e, ok := d.find(t); ok {
 		e.health.recordSuccess()
 		d.recordDuration(e, t, now)
 	}
@@ -82,7 +94,7 @@
 func (d *Directory) RecordFailure(t Target, down bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.byID[t.ID()]; ok {
+	if e, ok := d.find(t); ok {
 		e.health.recordFailure(now, down)
 	}
 }
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/adapter/record"
@@ -27,19 +28,30 @@
 
 // cluster is a simulated platform with endpoints. It implements entry.HomeClient for them.
 type cluster struct {
-	t          *testing.T
-	log        *standin.Log
-	instances  *standin.InstanceList
-	endpoints  map[string]*endpoint
-	cancel     context.CancelFunc
-	ctx        context.Context
-	goroutines sync.WaitGroup
+	t         *testing.T
+	log       *standin.Log
+	instances *standin.InstanceList
+	endpoints map[string]*endpoint
+	// logger receives the log lines of entries, nil to discard them.
+	logger *zap.Logger
+	// startErrs are the answers to the next starts, at whichever endpoint.
+	startErrs []error
+	// onStart runs at each start, onTransfer after each transfer of budget and onEnd after
+	// each end of a program; nil for nothing.
+	onStart    func()
+	onTransfer func()
+	onEnd      func()
+	// reservations holds the tokens that parents have reserved, by child.
+	reservations map[program.ID]int64
+	cancel       context.CancelFunc
+	ctx          context.Context
+	goroutines   sync.WaitGroup
 }
 
 // runInCluster runs a test with an empty cluster in virtual time.
 func runInCluster(t *testing.T, test func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, log: standin.NewLog(), instances: standin.NewInstanceList(0), endpoints: map[string]*endpoint{}}
+		c := &cluster{t: t, log: standin.NewLog(), instances: standin.NewInstanceList(0), endpoints: map[string]*endpoint{}, reservations: map[program.ID]int64{}}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		defer c.goroutines.Wait()
 		defer c.cancel()
@@ -64,6 +76,8 @@
 	failAtWord int
 	// moved makes calls fail with program.KindMoved without a home.
 	moved bool
+	// callErrs are the errors of the next calls.
+	callErrs []error
 }
 
 func (c *cluster) addEndpoint(name string) *endpoint {
@@ -108,7 +122,7 @@
 	store := configuration.NewStore(inifile.ParseConfiguration)
 	e := entry.New(entry.Config{
 		Name: name, HomeClient: c, Sealer: &plainSealer{handles: map[string]program.Handle{}}, Log: c.log, InstanceLister: c.instances,
-		PublicationCodec: record.PublicationCodec{}, Configurations: store, Members: membership.NewTable(), StreamCount: 1,
+		PublicationCodec: record.PublicationCodec{}, Configurations: store, Members: membership.NewTable(), StreamCount: 1, Logger: c.logger,
 	})
 	c.goroutines.Go(func() { e.Run(c.ctx) })
 	return e, store
@@ -142,10 +156,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
+	if c.onStart != nil {
+		c.onStart()
+	}
+	if len(c.startErrs) > 0 {
+		startErr := c.startErrs[0]
+		c.startErrs = c.startErrs[1:]
+		return home.StartResult{}, startErr
+	}
 	if e.startErr != nil {
 		return home.StartResult{}, e.startErr
 	}
-	h := program.NewHandle(program.HandleConfig{Program: program.NewID(r.Caller, r.Key), Caller: r.Caller, Class: r.Class, Home: instance})
+	h := program.NewHandle(program.HandleConfig{Program: program.NewID(r.Caller, r.Key), Caller: r.Caller, Class: r.Class, Home: instance, Parent: r.Parent, ParentHome: r.ParentHome})
 	return home.NewStartResult(h, 1000, 1), nil
 }
 
@@ -157,7 +179,14 @@
 	e.mu.Lock()
 	e.calls++
 	failAtWord, moved := e.failAtWord, e.moved
+	var callErr error
+	if len(e.callErrs) > 0 {
+		callErr, e.callErrs = e.callErrs[0], e.callErrs[1:]
+	}
 	e.mu.Unlock()
+	if callErr != nil {
+		return home.CallResult{}, callErr
+	}
 	if moved {
 		return home.CallResult{}, program.NewError(program.ErrorConfig{Op: "call", Kind: program.KindMoved, Outcome: program.InDoubt, Err: errDown})
 	}
@@ -178,6 +207,9 @@
 
 func (c *cluster) End(_ context.Context, instance string, h program.Handle, _ bool) (home.EndResult, error) {
 	_, err := c.reachableEndpoint(instance)
+	if c.onEnd != nil {
+		c.onEnd()
+	}
 	return home.NewEndResult(home.EndResultConfig{Handle: h, State: program.Finished, TargetMet: true}), err
 }
 
@@ -186,9 +218,27 @@
 	return home.NewView(home.ViewConfig{Handle: h}), err
 }
 
-func (c *cluster) Transfer(_ context.Context, instance string, t home.BudgetTransfer) (int64, error) {
-	_, err := c.reachableEndpoint(instance)
-	return t.Tokens, err
+// Transfer keeps the reservation of a child. Like a connection, it does nothing for a context
+// that has ended, and doesn't know the outcome when the context ends on the way.
+func (c *cluster) Transfer(ctx context.Context, instance string, t home.BudgetTransfer) (int64, error) {
+	if ctx.Err() != nil {
+		return 0, program.Errorf("transfer", program.KindUnavailable, "%w", ctx.Err())
+	}
+	if _, err := c.reachableEndpoint(instance); err != nil {
+		return 0, err
+	}
+	if t.Settle {
+		delete(c.reservations, t.Child)
+	} else {
+		c.reservations[t.Child] = t.Tokens
+	}
+	if c.onTransfer != nil {
+		c.onTransfer()
+	}
+	if ctx.Err() != nil {
+		return 0, program.NewError(program.ErrorConfig{Op: "transfer", Kind: program.KindUnavailable, Outcome: program.InDoubt, Err: ctx.Err()})
+	}
+	return t.Tokens, nil
 }
 
 func (c *cluster) Beat(_ context.Context, instance string, b membership.Heartbeat) (membership.HeartbeatReply, error) {
@@ -222,3 +272,15 @@
 	require.NoError(c.t, err)
 	return version
 }
+
+// appendConfigurations appends n configurations to the log, each made from the one before,
+// as entries do that this test does not run. base is the version in force.
+func (c *cluster) appendConfigurations(base int64, n int) {
+	c.t.Helper()
+	for i := range n {
+		data, err := record.PublicationCodec{}.Encode(entry.Publication{Base: base + int64(i), Author: "head", Text: fmt.Sprintf("%s# %d of others\n", quoteClass, i)})
+		require.NoError(c.t, err)
+		_, err = c.log.Append(c.ctx, entry.ConfigurationStream, data)
+		require.NoError(c.t, err)
+	}
+}
--- a/entry/home_search.go
+++ b/entry/home_search.go
@@ -31,8 +31,11 @@
 	target string
 	// retryWait is the wait before the next retry.
 	retryWait time.Duration
-	// unreachableSince is when an attempt first failed with program.KindUnavailable; zero
-	// before that, and again once the target was replaced for it.
+	// moved is set when target was replaced since the latest attempt, to take over the
+	// program.
+	moved bool
+	// unreachableSince is when an attempt at target first failed with
+	// program.KindUnavailable; zero before that.
 	unreachableSince time.Time
 }
 
@@ -56,21 +59,49 @@
 	search := &homeSearch{entry: e, handle: h, target: h.Home(), retryWait: minRetryWait}
 	e.retries.recordRequest(h.Class())
 	var err error
-	for range maxHomeAttempts {
+	inDoubt := false
+	for attempt := range maxHomeAttempts {
 		if err = search.replaceDeadTarget(); err != nil {
-			return err
+			break
 		}
+		search.countAttempt(attempt)
 		err = send(ctx, search.target, search.handle)
-		if err == nil || !search.prepareRetry(err) || !search.allowRetry(err) {
-			return err
-		}
-		if !search.waitForRetry(ctx) {
-			return err
+		if err == nil || attempt == maxHomeAttempts-1 || !search.prepareRetry(ctx, err) {
+			break
 		}
+		inDoubt = inDoubt || program.AsError(err).Outcome() == program.InDoubt
+	}
+	if inDoubt && !ownerDecided(err) {
+		return withDoubt(err)
 	}
 	return err
 }
 
+// ownerDecided reports whether the result of an attempt is the decision of the home that
+// owns the program, which also holds for earlier attempts at the same call.
+func ownerDecided(err error) bool {
+	if err == nil {
+		return true
+	}
+	switch program.KindOf(err) {
+	case program.KindUnavailable, program.KindLeaving, program.KindMoved:
+		return false
+	}
+	return true
+}
+
+// withDoubt returns err with the outcome InDoubt if it is NotRun, which is true of the
+// latest attempt but not of an earlier one.
+func withDoubt(err error) error {
+	e := program.AsError(err)
+	if e.Outcome() != program.NotRun {
+		return err
+	}
+	return program.NewError(program.ErrorConfig{
+		Op: e.Op(), Kind: e.Kind(), Outcome: program.InDoubt, RetryAfter: e.RetryAfter(), Home: e.Home(), Err: e.Unwrap(),
+	})
+}
+
 // replaceDeadTarget selects another target when the current one is dead or not known.
 func (s *homeSearch) replaceDeadTarget() error {
 	m, ok := s.entry.members.Member(s.target, time.Now())
@@ -92,31 +123,66 @@
 	if !ok {
 		return noEndpointError("find home")
 	}
-	s.entry.metrics.moves.Add(1)
-	s.target = chosen
+	s.setTarget(chosen)
+	s.moved = true
 	return nil
 }
 
-// prepareRetry reports whether the request may be sent again after err, and selects the
-// target for that. An unavailable home that advises a retry delay leaves the retry to the
-// caller.
-func (s *homeSearch) prepareRetry(err error) bool {
+// countAttempt counts an attempt that is about to be sent.
+func (s *homeSearch) countAttempt(attempt int) {
+	if attempt > 0 {
+		s.entry.metrics.retries.Add(1)
+	}
+	if s.moved {
+		s.entry.metrics.moves.Add(1)
+	}
+	s.moved = false
+}
+
+// setTarget sets the instance that the next attempt goes to, which has not failed yet.
+func (s *homeSearch) setTarget(instance string) {
+	s.target, s.unreachableSince = instance, time.Time{}
+}
+
+// prepareRetry reports whether the request is to be sent again after err. It uses the retry
+// budget of the class for that, selects the target and waits.
+func (s *homeSearch) prepareRetry(ctx context.Context, err error) bool {
+	if !mayRetry(err) || !s.takeRetry(err) {
+		return false
+	}
+	if s.selectTarget(err) && s.waitForRetry(ctx) {
+		return true
+	}
+	s.returnRetry(err)
+	return false
+}
+
+// mayRetry reports whether a request may be sent again after err. An unavailable home that
+// advises a retry delay leaves the retry to the caller.
+func mayRetry(err error) bool {
 	e := program.AsError(err)
 	switch e.Kind() {
-	case program.KindMoved:
-		if e.Home() == "" {
-			return s.replaceTarget() == nil
-		}
-		s.handle = s.handle.WithHome(e.Home())
-		s.target = e.Home()
-	case program.KindLeaving:
-		return s.replaceTarget() == nil
+	case program.KindMoved, program.KindLeaving:
+		return true
 	case program.KindUnavailable:
-		return e.RetryAfter() == 0 && s.replaceUnreachableTarget() == nil
-	default:
-		return false
+		return e.RetryAfter() == 0
 	}
-	return true
+	return false
+}
+
+// selectTarget selects the target of another attempt after err, and returns false when
+// there is none.
+func (s *homeSearch) selectTarget(err error) bool {
+	e := program.AsError(err)
+	switch {
+	case e.Kind() == program.KindUnavailable:
+		return s.replaceUnreachableTarget() == nil
+	case e.Kind() == program.KindMoved && e.Home() != "":
+		s.handle = s.handle.WithHome(e.Home())
+		s.setTarget(e.Home())
+		return true
+	}
+	return s.replaceTarget() == nil
 }
 
 // replaceUnreachableTarget selects another target when the current one has not answered for
@@ -129,24 +195,31 @@
 	if now.Sub(s.unreachableSince) < unreachableTimeout {
 		return nil
 	}
-	s.unreachableSince = time.Time{}
 	return s.replaceTarget()
 }
 
-// allowRetry reports whether the retry budget of the class permits another attempt, and
-// uses it. A retry after a request that certainly did not run, such as after a refused
-// connection, is free, because it put no load on an endpoint.
-func (s *homeSearch) allowRetry(err error) bool {
+// freeRetry reports whether a retry after err needs no budget. A request that certainly did
+// not run, such as after a refused connection, put no load on an endpoint.
+func freeRetry(err error) bool {
 	e := program.AsError(err)
-	if e.Kind() == program.KindUnavailable && e.Outcome() == program.NotRun {
-		return true
+	return e.Kind() == program.KindUnavailable && e.Outcome() == program.NotRun
+}
+
+// takeRetry reports whether the retry budget of the class permits another attempt after err,
+// and uses it.
+func (s *homeSearch) takeRetry(err error) bool {
+	return freeRetry(err) || s.entry.retries.take(s.handle.Class())
+}
+
+// returnRetry gives back what takeRetry has used for an attempt that is not sent.
+func (s *homeSearch) returnRetry(err error) {
+	if !freeRetry(err) {
+		s.entry.retries.giveBack(s.handle.Class())
 	}
-	return s.entry.retries.take(s.handle.Class())
 }
 
 // waitForRetry waits before the next attempt and returns false when ctx ended.
 func (s *homeSearch) waitForRetry(ctx context.Context) bool {
-	s.entry.metrics.retries.Add(1)
 	s.entry.config.Logger.Debug("retrying a request to the home of a program", zap.Stringer("program", s.handle.Program()), zap.String("endpoint", s.target))
 	wait := s.retryWait
 	s.retryWait = min(2*wait, maxRetryWait)
--- a/history/committer_test.go
+++ b/history/committer_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
@@ -285,3 +288,109 @@
 		require.EqualValues(t, 1, other.Stats().Corrupt)
 	})
 }
+
+// TestRecordCommittedTwiceAtOnce checks that all callers that commit the same record get its
+// result, whether the record is still queued or in flight when the second one comes.
+func TestRecordCommittedTwiceAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// interval is the time between the two commits.
+		interval time.Duration
+	}{
+		{name: "both are queued"},
+		{name: "the first is in flight", interval: 100 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withFixture(t, func(t *testing.T, f *fixture) {
+				c := f.startCommitter()
+				id, last := startProgram(t, f, c, "k")
+				f.log.SetFaults(standin.LogFaults{Down: true})
+				ctx, cancel := context.WithTimeout(f.ctx, time.Minute)
+				defer cancel()
+				r := newRecord(id, 0, last, history.Void())
+				positions := make(chan history.Position, 2)
+				commit := func() {
+					position, err := c.Commit(ctx, r)
+					assert.NoError(t, err)
+					positions <- position
+				}
+				go commit()
+				time.Sleep(test.interval)
+				go commit()
+				time.Sleep(time.Second)
+				f.log.SetFaults(standin.LogFaults{})
+				require.Equal(t, <-positions, <-positions)
+				require.EqualValues(t, 2, c.Stats().Records, "the started record and one append of r")
+				require.Zero(t, c.Stats().Waiting)
+			})
+		})
+	}
+}
+
+// TestRecordThatCannotBeEncodedFailsAlone checks that the other records of its batch are
+// committed.
+func TestRecordThatCannotBeEncodedFailsAlone(t *testing.T) {
+	withFixture(t, func(t *testing.T, f *fixture) {
+		c := f.startCommitter()
+		id, last := startProgram(t, f, c, "k")
+		invalid := newRecord(program.NewID("c", "invalid"), 0, history.RecordID{}, history.Started(program.Config{Caller: "c", Key: "\xff"}))
+		first := newRecord(id, 0, last, history.Void())
+		second := newRecord(id, 0, first.ID(), history.Void())
+		tests := []struct {
+			name     string
+			record   history.Record
+			wantErr  bool
+			wantKind history.Kind
+		}{
+			{name: "before the invalid record", record: first},
+			{name: "invalid record", record: invalid, wantErr: true, wantKind: history.KindCorrupt},
+			{name: "after the invalid record", record: second},
+		}
+		var commits sync.WaitGroup
+		errs := make([]error, len(tests))
+		for i, test := range tests {
+			commits.Go(func() { _, errs[i] = c.Commit(f.ctx, test.record) })
+			synctest.Wait()
+		}
+		commits.Wait()
+		for i, test := range tests {
+			require.Equal(t, test.wantErr, errs[i] != nil, "%s: %v", test.name, errs[i])
+			if test.wantErr {
+				require.Equal(t, test.wantKind, history.KindOf(errs[i]), test.name)
+			}
+		}
+		loaded, err := f.startCommitter().Load(f.ctx, id)
+		require.NoError(t, err)
+		require.Equal(t, second.ID(), loaded.LastRecordID())
+		require.EqualValues(t, 3, c.Stats().Records)
+	})
+}
+
+// TestLargeRecordsCanBeReadBack checks that records that were committed together can be
+// read by other processes, also when they are large.
+func TestLargeRecordsCanBeReadBack(t *testing.T) {
+	withFixture(t, func(t *testing.T, f *fixture) {
+		c := f.startCommitter()
+		key := strings.Repeat("k", 10<<20)
+		const records = 7
+		var commits sync.WaitGroup
+		var ids [records]program.ID
+		for i := range records {
+			config := program.Config{Caller: fmt.Sprint("c", i), Key: key}
+			r := newRecord(program.NewID(config.Caller, key), 0, history.RecordID{}, history.Started(config))
+			ids[i] = r.Program()
+			commits.Go(func() {
+				_, err := c.Commit(f.ctx, r)
+				assert.NoError(t, err)
+			})
+		}
+		commits.Wait()
+		other := f.startCommitter()
+		for _, id := range ids {
+			_, err := other.Load(f.ctx, id)
+			require.NoError(t, err)
+		}
+		require.Zero(t, other.Stats().Corrupt)
+	})
+}
--- a/home/cluster_test.go
+++ b/home/cluster_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/adapter/record"
 	"github.com/lavendervale/lavendervale/class"
@@ -37,6 +39,28 @@
 	// crashes is nil unless the test needs quarantine; it is set before
 	// addHome.
 	crashes *quarantine.List
+	// wrapJournal, when set before addHome, returns the journal that a home uses
+	// in place of its committer.
+	wrapJournal func(j home.Journal) home.Journal
+	// withoutCodec makes the next homes carry no records in handles.
+	withoutCodec bool
+	// logger is that of the next homes, nil for none.
+	logger *zap.Logger
+}
+
+// heldJournal commits records only after release is closed.
+type heldJournal struct {
+	home.Journal
+	release chan struct{}
+}
+
+func (j *heldJournal) Commit(ctx context.Context, r history.Record) (history.Position, error) {
+	select {
+	case <-j.release:
+		return j.Journal.Commit(ctx, r)
+	case <-ctx.Done():
+		return history.NoPosition, history.Errorf("commit", history.KindUnknown, "%w", ctx.Err())
+	}
 }
 
 // sharedCrashes is a CrashTracker that applies events to a list shared by all
@@ -88,11 +112,17 @@
 	e := &fakeEngine{releasesByProgram: map[program.ID]int{}}
 	c := home.Config{
 		Name: name, Incarnation: uint64(len(tc.homes) + 1), Engine: e, Journal: committer, Codec: record.NewCodec(), Services: tc.service,
-		Configurations: tc.store, Slots: 2,
+		Configurations: tc.store, Slots: 2, Logger: tc.logger,
 	}
 	if tc.crashes != nil {
 		c.Crashes = &sharedCrashes{list: tc.crashes}
 	}
+	if tc.withoutCodec {
+		c.Codec = nil
+	}
+	if tc.wrapJournal != nil {
+		c.Journal = tc.wrapJournal(c.Journal)
+	}
 	h := home.New(c)
 	tc.homes = append(tc.homes, h)
 	return h, e
@@ -277,6 +307,8 @@
 	refusing bool
 	// ledgerGone makes Query answer that the instance no longer exists.
 	ledgerGone bool
+	// onLocate, when set, is called by Locate.
+	onLocate func()
 	// callDuration is the time between the effect of an order and its answer.
 	callDuration time.Duration
 }
@@ -303,6 +335,9 @@
 func (s *fakeService) Locate(string) (string, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.onLocate != nil {
+		s.onLocate()
+	}
 	if s.unreachable {
 		return "", 0, order.Errorf("locate", order.KindNotRun, "unreachable")
 	}
@@ -360,3 +395,19 @@
 	}
 	return len(tc.service.effectsByOrder)
 }
+
+// recordTypes returns the types of all records in the log, in order.
+func (tc *testCluster) recordTypes() []history.RecordType {
+	tc.t.Helper()
+	page, err := tc.log.Read(context.Background(), "p-0", 0, math.MaxInt)
+	require.NoError(tc.t, err)
+	var types []history.RecordType
+	for _, e := range page.Entries() {
+		records, err := record.NewCodec().Decode(e.Data())
+		require.NoError(tc.t, err)
+		for _, r := range records {
+			types = append(types, r.Body().Type())
+		}
+	}
+	return types
+}
--- a/home/fault_test.go
+++ b/home/fault_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"github.com/lavendervale/lavendervale/history"
+	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/program"
 )
 
@@ -394,3 +399,123 @@
 		})
 	}
 }
+
+// TestOrderIsNotClaimedAfterTheEnd checks that an order whose program is canceled while the
+// service is located is neither claimed nor sent, and that its caller is told so.
+func TestOrderIsNotClaimedAfterTheEnd(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+		h, _ := tc.addHome("model-1")
+		handle := tc.startUrgent(h, "k")
+		tc.service.onLocate = func() {
+			_, err := h.End(context.Background(), handle, true)
+			require.NoError(t, err)
+		}
+		_, _, err := call(h, handle, tc.orderCall(1))
+		require.Equal(t, program.KindEnded, program.KindOf(err), "%v", err)
+		require.Equal(t, program.NotRun, program.AsError(err).Outcome())
+		require.Zero(t, tc.requireAtMostOneEffect())
+		require.NotContains(t, tc.recordTypes(), history.TypeClaimed)
+	})
+}
+
+// TestUncommittedTakeoverRunsNothing checks that a home whose takeover is not committed yet
+// runs no call of the program, since another home may have taken over first.
+func TestUncommittedTakeoverRunsNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		// overtaken is set when another home takes over before the commit.
+		overtaken bool
+		wantKind  program.Kind
+		wantErr   bool
+	}{
+		{name: "committed late"},
+		{name: "another home takes over first", overtaken: true, wantErr: true, wantKind: program.KindMoved},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+				a, _ := tc.addHome("model-1")
+				handle := tc.requireCall(a, tc.startUrgent(a, "k"), tc.modelCall(1, "one"))
+				held := &heldJournal{release: make(chan struct{})}
+				tc.wrapJournal = func(j home.Journal) home.Journal { held.Journal = j; return held }
+				b, eb := tc.addHome("model-2")
+				tc.wrapJournal = nil
+				for range 2 {
+					_, _, err := call(b, handle, tc.modelCall(2, "two"))
+					require.Equal(t, program.KindUnavailable, program.KindOf(err), "%v", err)
+				}
+				_, err := b.Read(context.Background(), handle)
+				require.Equal(t, program.KindUnavailable, program.KindOf(err), "%v", err)
+				require.Zero(t, eb.promptCount())
+				if test.overtaken {
+					c, _ := tc.addHome("model-3")
+					tc.requireCall(c, handle, tc.modelCall(2, "two"))
+				}
+				done := make(chan error, 1)
+				go func() {
+					_, _, err := call(b, handle, tc.modelCall(2, "two"))
+					done <- err
+				}()
+				synctest.Wait()
+				close(held.release)
+				err = <-done
+				require.Equal(t, test.wantErr, err != nil, "%v", err)
+				if test.wantErr {
+					require.Equal(t, test.wantKind, program.KindOf(err), "%v", err)
+					require.Zero(t, eb.promptCount())
+				}
+			})
+		})
+	}
+}
+
+// TestTurnIsAppliedWhileAnAnswerIsLogged applies a turn from a handle, which replaces the
+// state of the program in memory, between the end of a call and its log line. The race
+// detector sees a read of the state without its lock.
+func TestTurnIsAppliedWhileAnAnswerIsLogged(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+		tc.wrapJournal = func(j home.Journal) home.Journal {
+			return &heldJournal{Journal: j, release: make(chan struct{})}
+		}
+		a, _ := tc.addHome("model-1")
+		started := tc.startUrgent(a, "k")
+		ahead := tc.requireCall(a, started, tc.modelCall(1, "one"))
+		ahead = tc.requireCall(a, ahead, tc.modelCall(2, "two"))
+		tc.wrapJournal = nil
+		const logDuration = time.Second
+		tc.logger = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.DebugLevel), zap.Hooks(func(e zapcore.Entry) error {
+			if e.Message == "call answered" {
+				time.Sleep(logDuration)
+			}
+			return nil
+		}))
+		b, _ := tc.addHome("model-2")
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := call(b, started, tc.modelCall(1, "one"))
+			done <- err
+		}()
+		time.Sleep(logDuration / 2)
+		v, err := b.Read(context.Background(), ahead)
+		require.NoError(t, err)
+		require.EqualValues(t, 3, v.Next(), "the turn of the handle is applied")
+		require.NoError(t, <-done)
+	})
+}
+
+// TestTakeoverWithoutCodec checks that a home that can't decode carried records refuses a
+// program that only these hold.
+func TestTakeoverWithoutCodec(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T, tc *testCluster) {
+		a, _ := tc.addHome("model-1")
+		tc.setLogDown(true)
+		handle := tc.startUrgent(a, "k")
+		require.NotEmpty(t, handle.CarriedRecords())
+		a.Close()
+		tc.setLogDown(false)
+		tc.withoutCodec = true
+		b, _ := tc.addHome("model-2")
+		_, _, err := call(b, handle, tc.modelCall(1, "one"))
+		require.Equal(t, program.KindNotFound, program.KindOf(err), "%v", err)
+	})
+}
--- a/home/model.go
+++ b/home/model.go
@@ -15,10 +15,10 @@
 // runModel runs a model call on the engine. When urgent calls need its slot,
 // the call stops, queues again and continues from the text generated so far.
 func (x *execution) runModel(ctx context.Context) (CallResult, error) {
-	w := x.home.scheduler.enqueue(x.resident.program.ID(), x.scheduleCall())
+	w := x.home.scheduler.enqueue(x.resident.id, x.scheduleCall())
 	if w == nil {
 		x.abort(0)
-		return CallResult{}, movedError("queue call", x.resident.program.ID())
+		return CallResult{}, movedError("queue call", x.resident.id)
 	}
 	for {
 		if err := x.home.scheduler.waitForSlot(ctx, w); err != nil {
@@ -164,8 +164,8 @@
 
 // failModel ends the call after an error of the engine, charges what the engine
 // may have processed and returns the error for the caller. An error of
-// program.KindUnavailable is reported as a crash, unless the engine did no work
-// and the call has no text yet.
+// program.KindUnavailable is reported as a crash, unless the engine did not get
+// the request.
 func (x *execution) failModel(err error) error {
 	e := program.AsError(err)
 	if e.Outcome() == program.NotRun && x.transcript.generatedTokens() == 0 {
@@ -173,7 +173,7 @@
 		return e
 	}
 	retry := unavailableRetryDelay
-	if e.Kind() == program.KindUnavailable {
+	if e.Kind() == program.KindUnavailable && e.Outcome() != program.NotRun {
 		retry = crashRetryDelay
 		x.reportCrash()
 	}
@@ -204,7 +204,7 @@
 	messages = append(messages, previous...)
 	messages = append(messages, call.Messages()...)
 	return NewPrompt(PromptConfig{
-		Program: r.program.ID(), Model: r.class.Model(), Messages: messages, MaxTokens: x.remainingTokens(), Rank: priority,
+		Program: r.id, Model: r.class.Model(), Messages: messages, MaxTokens: x.remainingTokens(), Rank: priority,
 		ResumeFrom: x.transcript.String(),
 	})
 }
--- a/turn/append.go
+++ b/turn/append.go
@@ -34,8 +34,8 @@
 	for {
 		s.waitForBatch(max(retryDelay, s.set.config.MinAppendInterval-time.Since(lastAppendAt)))
 		s.mu.Lock()
-		batch := s.nextBatch()
-		if len(batch) == 0 {
+		pending := len(s.pending)
+		if pending == 0 {
 			s.appending = false
 			s.mu.Unlock()
 			s.releaseReplicas()
@@ -43,13 +43,13 @@
 		}
 		s.mu.Unlock()
 		lastAppendAt = time.Now()
-		err := s.tryAppend(batch)
+		err := s.tryAppend()
 		s.releaseReplicas()
 		if err == nil {
 			retryDelay = 0
 			continue
 		}
-		s.set.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", len(batch)), zap.Error(err))
+		s.set.config.Logger.Warn("append failed", zap.Int("shard", s.number), zap.Int("records", pending), zap.Error(err))
 		retryDelay = min(maxRetryDelay, max(minRetryDelay, 2*retryDelay))
 	}
 }
@@ -91,29 +91,71 @@
 	return least
 }
 
-// tryAppend appends a batch at the end of the shard. If another process has written
-// to the shard meanwhile, tryAppend applies its records, refuses the pending attempts
-// that no longer fit their budgets, and leaves the batch pending for the next call.
-func (s *shard) tryAppend(batch []*writeOp) error {
+// tryAppend appends the oldest pending writes at the end of the shard. If another process has written
+// to the shard meanwhile, tryAppend reads its records and leaves the writes pending for
+// the next call.
+func (s *shard) tryAppend() error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.LogTimeout)
 	defer cancel()
+	if s.isForeign() {
+		err := s.appendAtHome(ctx)
+		s.setAppendFailing(err != nil)
+		return err
+	}
 	if err := s.ensureLoaded(ctx, loadForAppend); err != nil {
 		s.setAppendFailing(true)
 		return err
 	}
+	// The writes pending now fit their budgets after all records before this offset.
 	s.mu.Lock()
-	offset := s.nextOffset
+	offset, batch := s.nextOffset, s.nextBatch()
 	s.mu.Unlock()
+	if len(batch) == 0 {
+		return nil
+	}
 	err := s.appendAt(offset, batch)
 	if err != nil && KindOf(err) == KindConflict {
-		if err = s.readToEnd(ctx); err == nil {
-			s.refuseOverBudget()
-		}
+		err = s.readToEnd(ctx)
 	}
 	s.setAppendFailing(err != nil)
 	return err
 }
 
+// isForeign reports whether the shard is not loaded and another process is its home. Only
+// records that need no state of the shard are pending then: settlements of attempts.
+func (s *shard) isForeign() bool {
+	if s.set.config.IsHome(s.number) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.loaded && s.load == nil
+}
+
+// appendAtHome has the home of the shard append the oldest pending writes, which saves
+// loading the shard here for them.
+func (s *shard) appendAtHome(ctx context.Context) error {
+	s.mu.Lock()
+	batch := s.nextBatch()
+	s.mu.Unlock()
+	if len(batch) == 0 {
+		return nil
+	}
+	records := make([][]byte, len(batch))
+	for i, op := range batch {
+		records[i] = op.encoded
+	}
+	if err := s.set.config.Replicator.AppendAtHome(ctx, s.number, records); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, op := range batch {
+		s.complete(op.appendNumber, nil)
+	}
+	return nil
+}
+
 // setAppendFailing records when appends began to fail, or that they work again.
 func (s *shard) setAppendFailing(failing bool) {
 	s.mu.Lock()
@@ -160,30 +202,44 @@
 }
 
 // usedTokensWithPending returns the tokens that a program has spent or reserved,
-// including those of pending records but not those reserved for exceptAttempt. s.mu
-// must be held.
+// including those of pending records but not those reserved for exceptAttempt. An attempt
+// whose end is pending counts with its delivered tokens. s.mu must be held.
 func (s *shard) usedTokensWithPending(program, exceptAttempt string) int64 {
 	sum := s.state.usedTokens(program, exceptAttempt)
 	reserved := s.state.reservedByAttempt(program)
+	ended := map[string]bool{}
 	for _, op := range s.pending {
-		if b := op.record.GetBegin(); b.GetProgram() == program && b.GetAttempt() != exceptAttempt && reserved[b.GetAttempt()] == 0 {
-			sum += b.GetTokens()
+		e := op.record.GetEnd()
+		if e.GetProgram() != program || ended[e.GetAttempt()] || s.state.hasEnded(program, e.GetAttempt()) {
+			continue
 		}
-		if e := op.record.GetEnd(); e.GetProgram() == program && reserved[e.GetAttempt()] > 0 {
-			sum += e.GetTokens() - reserved[e.GetAttempt()]
+		ended[e.GetAttempt()] = true
+		sum += e.GetTokens()
+		if e.GetAttempt() != exceptAttempt {
+			sum -= reserved[e.GetAttempt()]
+		}
+	}
+	for _, op := range s.pending {
+		b := op.record.GetBegin()
+		if b.GetProgram() != program || b.GetAttempt() == exceptAttempt || ended[b.GetAttempt()] || s.state.hasEnded(program, b.GetAttempt()) {
+			continue
+		}
+		if _, ok := reserved[b.GetAttempt()]; !ok {
+			sum += b.GetTokens()
 		}
 	}
 	return sum
 }
 
-// refuseOverBudget refuses the pending attempts that no longer fit their budgets
-// because another process has written to the shard. Attempts with replicated begin
-// records stay: their callers may already have continued.
-func (s *shard) refuseOverBudget() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// refuseOverBudget refuses the pending attempts of the given programs that no longer fit
+// their budgets because another process has written to the shard. Attempts with replicated
+// begin records stay: their callers may already have continued. s.mu must be held.
+func (s *shard) refuseOverBudget(programs map[string]bool) {
+	if len(programs) == 0 {
+		return
+	}
 	for _, op := range append([]*writeOp(nil), s.pending...) {
-		if op.budgetTokens == 0 || op.replicated {
+		if op.budgetTokens == 0 || op.replicated || !programs[op.program] {
 			continue
 		}
 		if s.usedTokensWithPending(op.program, op.record.GetBegin().GetAttempt())+op.reservedTokens > op.budgetTokens {
