End the search of replicas that continue each other

What operators would see: a front ends with a stack overflow when it holds a replica whose turn continues itself, as a corrupt front may send. Cause: the search called itself for the previous turn without a bound. Change: a loop over at most as many turns as there are replicas. Looked elsewhere: turns of a shard are added after the turn they continue, so they form trees.

--- a/turn/begin.go
+++ b/turn/begin.go
@@ -1,7 +1,9 @@
 package turn
 
 import (
+	"bytes"
 	"context"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -188,22 +190,38 @@
 // findInReplicas searches encoded records that the log may not have yet. Earlier
 // turns of the conversation come from this shard or from the replicas as well.
 func (s *shard) findInReplicas(turn string, replicas [][]byte) ([]byte, bool) {
-	for _, data := range replicas {
-		record := &turnpb.Record{}
-		if err := proto.Unmarshal(data, record); err != nil || record.GetEnd().GetAttempt() != turn || record.GetEnd().GetTurn() == nil {
-			continue
+	var texts [][]byte
+	// A conversation has at most one turn a replica; more are a cycle.
+	for range replicas {
+		t := completedTurnOf(turn, replicas)
+		if t == nil {
+			return nil, false
 		}
-		t := record.GetEnd().GetTurn()
-		if t.GetWhole() || t.GetPrevious() == "" {
-			return t.GetText(), true
+		texts = append(texts, t.GetText())
+		if turn = t.GetPrevious(); t.GetWhole() || turn == "" {
+			return joinReversed(texts), true
 		}
-		before, ok := s.findInMemory(t.GetPrevious())
-		if !ok {
-			if before, ok = s.findInReplicas(t.GetPrevious(), replicas); !ok {
-				return nil, false
-			}
+		if before, ok := s.findInMemory(turn); ok {
+			return joinReversed(append(texts, before)), true
 		}
-		return append(append([]byte(nil), before...), t.GetText()...), true
 	}
 	return nil, false
 }
+
+// completedTurnOf returns the turn that an attempt completed according to encoded records,
+// nil when none of them says so.
+func completedTurnOf(attempt string, records [][]byte) *turnpb.Turn {
+	for _, data := range records {
+		record := &turnpb.Record{}
+		if err := proto.Unmarshal(data, record); err == nil && record.GetEnd().GetAttempt() == attempt && record.GetEnd().GetTurn() != nil {
+			return record.GetEnd().GetTurn()
+		}
+	}
+	return nil
+}
+
+// joinReversed returns the texts in reverse order as one.
+func joinReversed(texts [][]byte) []byte {
+	slices.Reverse(texts)
+	return bytes.Join(texts, nil)
+}
