Ignore gossip without a proportion for the homes of shards

What callers would see: all turns are refused when one front sends a weight that is infinite or no number: it becomes the home of every shard, or excludes the receiver. Cause: the weight of a datagram was used as received. Evidence: TestGossipWithoutAProportionChangesNoHome failed before: 6 fronts known, 1 expected. Looked elsewhere: sequence numbers and loads are integers, crashes only count requests.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -92,7 +93,7 @@
 }
 
 // receiveGossip handles datagrams until the socket is closed. It ignores those that
-// can't be decoded, carry no name, or come from this front itself.
+// can't be decoded, carry no name or weight, or come from this front itself.
 func (m *Mesh) receiveGossip() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -101,7 +102,7 @@
 			return
 		}
 		g := &meshpb.Gossip{}
-		if err := proto.Unmarshal(buffer[:n], g); err != nil || g.GetName() == "" || g.GetName() == m.config.Name {
+		if err := proto.Unmarshal(buffer[:n], g); err != nil || g.GetName() == "" || g.GetName() == m.config.Name || !isWeight(g.GetWeight()) {
 			m.config.Logger.Debug("gossip datagram ignored", zap.Stringer("from", sender), zap.Error(err))
 			continue
 		}
@@ -109,6 +110,9 @@
 	}
 }
 
+// isWeight reports whether shards can be distributed in proportion to a weight.
+func isWeight(w float64) bool { return w > 0 && !math.IsInf(w, 0) }
+
 // handleGossip applies a datagram from the given address: the state of its front, its
 // load on the endpoints and the crashes that it knows.
 func (m *Mesh) handleGossip(g *meshpb.Gossip, address string, now time.Time) {
--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
 	"github.com/lavendervale/lavendervale/endpoint"
 )
 
@@ -38,3 +41,21 @@
 		})
 	}
 }
+
+// TestGossipWithoutAProportionChangesNoHome guards against a datagram that makes its sender
+// the home of all shards, or excludes this front.
+func TestGossipWithoutAProportionChangesNoHome(t *testing.T) {
+	m := newTestMesh(t, "m")
+	go m.receiveGossip()
+	sender, err := net.Dial("udp", m.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = sender.Close() })
+	for i, weight := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 0, -1, 1} {
+		data, err := proto.Marshal(&meshpb.Gossip{Name: fmt.Sprint("front-", i), Incarnation: 1, Sequence: 1, Weight: weight})
+		require.NoError(t, err)
+		_, err = sender.Write(data)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return m.AliveCount() > 0 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, 1, m.KnownCount(), "only the last datagram has a weight")
+}
