--- a/adapter/mesh/exchange_test.go
+++ b/adapter/mesh/exchange_test.go
@@ -92,3 +92,27 @@
 		})
 	}
 }
+
+// TestRequestForAnUnknownShardIsRefused guards against shards that don't exist but are read
+// from the log and kept in memory.
+func TestRequestForAnUnknownShardIsRefused(t *testing.T) {
+	m, home := newTestMesh(t, "m"), newTestMesh(t, "home")
+	to := connectTo(m, home)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go home.serve(ctx)
+	tests := []struct {
+		name    string
+		request *meshpb.Request
+	}{
+		{name: "find", request: &meshpb.Request{Body: &meshpb.Request_Find{Find: &meshpb.Find{Turn: "t", Shards: []uint32{1, 4}}}}},
+		{name: "fetch", request: &meshpb.Request{Body: &meshpb.Request_Fetch{Fetch: &meshpb.Fetch{Shard: 4}}}},
+		{name: "copies", request: &meshpb.Request{Body: &meshpb.Request_Copies{Copies: &meshpb.Copies{Shard: 20_000}}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := m.roundTrip(ctx, to, test.request, handleTimeout)
+			require.ErrorContains(t, err, "does not exist")
+		})
+	}
+}
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -95,6 +96,9 @@
 // the error is only that of writing the reply.
 func (h requestHandler) handle(ctx context.Context, r *meshpb.Request) error {
 	m := h.mesh
+	if err := m.checkShards(r); err != nil {
+		return h.replyFault(err)
+	}
 	switch {
 	case r.GetBegin() != nil:
 		return h.handleBegin(ctx, r.GetBegin())
@@ -113,6 +117,16 @@
 	return h.replyFault(turn.Errorf("handle request of a front", turn.KindUnavailable, "unknown request type"))
 }
 
+// checkShards returns an error of turn.KindUnavailable when a request names a shard that
+// does not exist.
+func (m *Mesh) checkShards(r *meshpb.Request) error {
+	shards := slices.Concat(r.GetFind().GetShards(), []uint32{r.GetCopies().GetShard(), r.GetFetch().GetShard()})
+	if greatest := slices.Max(shards); int64(greatest) >= int64(m.config.Shards) {
+		return turn.Errorf("handle request of a front", turn.KindUnavailable, "shard %d does not exist: there are %d", greatest, m.config.Shards)
+	}
+	return nil
+}
+
 func (h requestHandler) replyFault(err error) error {
 	return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Fault{Fault: &meshpb.Fault{Kind: uint32(turn.KindOf(err)), Message: err.Error()}}})
 }
