--- a/turn/append.go
+++ b/turn/append.go
@@ -91,9 +91,9 @@
 	return least
 }
 
-// tryAppend appends the oldest pending writes at the end of the shard. If another process has written
-// to the shard meanwhile, tryAppend reads its records and leaves the writes pending for
-// the next call.
+// tryAppend appends the oldest pending writes at the end of the shard, or has its home
+// append them. If another process has written to the shard meanwhile, tryAppend reads its
+// records and leaves the writes pending for the next call.
 func (s *shard) tryAppend() error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.LogTimeout)
 	defer cancel()
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -63,8 +63,7 @@
 	bytesRead int64
 	// trimPoints holds offsets to trim the log at, in ascending order.
 	trimPoints []trimPoint
-	// load is the attempt to load the shard that is under way or has failed just now, nil
-	// for none.
+	// load is the load under way, nil for none.
 	load *logRead
 	// nextRead is the read to the end that begins after the one under way, nil for none.
 	nextRead *logRead
