Let a refused read of a page end no other read of it

Change: an error counts only once no other read of the page is under way. Looked elsewhere: calls of the store already wait for the responses that are pending.

--- a/turn/load_test.go
+++ b/turn/load_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/timer"
 	"github.com/lavendervale/lavendervale/turn"
@@ -150,3 +152,38 @@
 		})
 	}
 }
+
+// refusingLog refuses each read but the first, which takes a while.
+type refusingLog struct {
+	*turntest.Log
+	reads   atomic.Int64
+	delay   time.Duration
+	refused atomic.Int64
+}
+
+func (l *refusingLog) Read(ctx context.Context, shard int, offset int64) (turn.Page, error) {
+	if l.reads.Add(1) > 1 {
+		l.refused.Add(1)
+		return turn.Page{}, turn.Errorf("read", turn.KindUnavailable, "too many reads are waiting")
+	}
+	if err := timer.Sleep(ctx, l.delay); err != nil {
+		return turn.Page{}, turn.Errorf("read", turn.KindUnavailable, "no answer: %w", err)
+	}
+	return l.Log.Read(ctx, shard, offset)
+}
+
+// TestRefusedReadEndsNoReadUnderWay guards against a shard that is never loaded from a busy
+// log, because a second read of its page is refused and ends the first.
+func TestRefusedReadEndsNoReadUnderWay(t *testing.T) {
+	withTestEnv(t, func(t *testing.T, env *testEnv) {
+		log := &refusingLog{Log: env.log, delay: turn.DefaultReadTimeout + 500*time.Millisecond}
+		set := turn.New(turn.Config{
+			WriterID: 1, ShardCount: 1, Log: log, Replicator: env.replicator, Logger: zap.NewNop(), LogTimeout: turn.DefaultLogTimeout,
+			ReadTimeout: turn.DefaultReadTimeout, IsHome: func(int) bool { return true },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*log.delay)
+		defer cancel()
+		require.NoError(t, set.Load(ctx, 0))
+		require.EqualValues(t, 1, log.refused.Load())
+	})
+}
--- a/turn/read.go
+++ b/turn/read.go
@@ -217,23 +217,33 @@
 
 // readPage reads one page of the log. While none of the reads under way has ended after
 // Config.ReadTimeout, it begins another one beside them, up to maxPageReads: a read on a
-// silent connection never ends, and one of a slow log must not begin anew.
+// silent connection never ends, and one of a slow log must not begin anew. An error counts
+// only once no other read is under way.
 func (s *shard) readPage(offset int64) (Page, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), maxPageReads*s.set.config.ReadTimeout)
 	defer cancel()
 	results := make(chan pageResult, maxPageReads)
-	for reads := 0; ; {
-		if reads < maxPageReads {
-			reads++
-			go func() {
-				page, err := s.set.config.Log.Read(ctx, s.number, offset)
-				results <- pageResult{page: page, err: err}
-			}()
-		}
+	begin := func() {
+		page, err := s.set.config.Log.Read(ctx, s.number, offset)
+		results <- pageResult{page: page, err: err}
+	}
+	go begin()
+	begun, pending := 1, 1
+	ticker := time.NewTicker(s.set.config.ReadTimeout)
+	defer ticker.Stop()
+	for {
 		select {
 		case r := <-results:
-			return r.page, r.err
-		case <-time.After(s.set.config.ReadTimeout):
+			pending--
+			if r.err == nil || KindOf(r.err) == KindExpired || pending == 0 {
+				return r.page, r.err
+			}
+		case <-ticker.C:
+			if begun < maxPageReads {
+				begun++
+				pending++
+				go begin()
+			}
 		}
 	}
 }
