--- a/turn/read.go
+++ b/turn/read.go
@@ -229,8 +229,8 @@
 	}
 	go begin()
 	begun, pending := 1, 1
-	ticker := time.NewTicker(s.set.config.ReadTimeout)
-	defer ticker.Stop()
+	timer := time.NewTimer(s.set.config.ReadTimeout)
+	defer timer.Stop()
 	for {
 		select {
 		case r := <-results:
@@ -238,11 +238,12 @@
 			if r.err == nil || KindOf(r.err) == KindExpired || pending == 0 {
 				return r.page, r.err
 			}
-		case <-ticker.C:
+		case <-timer.C:
 			if begun < maxPageReads {
 				begun++
 				pending++
 				go begin()
+				timer.Reset(s.set.config.ReadTimeout)
 			}
 		}
 	}
