Log the rate limits that endpoints name in their responses

Callers saw nothing; six endpoints got up to twice the requests that they had asked for, and no log line or metric told that a limit had been named, by whom, or which front knew of it.

The stand-in endpoint names limits and counts arrivals. No decision uses it yet.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -54,6 +54,7 @@
 	coldUntil time.Time
 	health    health
 	slowdown  slowdown
+	limit     observedLimit
 }
 
 // Target is the endpoint picked for one request. Its zero value is no endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -237,6 +237,17 @@
 		zap.String("address", c.target.Address()), zap.Int("events", c.eventCount), zap.Error(err))
 }
 
+// recordLimit reports the rate limit that an endpoint named in a response to the directory,
+// and logs it when it has changed.
+func (c *call) recordLimit(t endpoint.Target, response Response) {
+	limit, known := response.Limit()
+	if !known || !c.Directory.RecordLimit(t, limit, time.Now()) {
+		return
+	}
+	c.Logger.Info("endpoint limit changed", zap.String("endpoint", t.ID()), zap.String("request", c.request.ID),
+		zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
+}
+
 // recordCrashIfDown records a crash if an endpoint that broke off a request no longer
 // accepts connections. If it does, only the connection was lost, which says nothing against
 // the request.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -135,11 +135,12 @@
 // okResponse is a complete successful response.
 type okResponse struct{}
 
-func (okResponse) Status() int           { return http.StatusOK }
-func (okResponse) Header() http.Header   { return http.Header{} }
-func (okResponse) NotRun() bool          { return false }
-func (okResponse) IsStream() bool        { return false }
-func (okResponse) Body() ([]byte, error) { return []byte("done"), nil }
+func (okResponse) Status() int                   { return http.StatusOK }
+func (okResponse) Header() http.Header           { return http.Header{} }
+func (okResponse) NotRun() bool                  { return false }
+func (okResponse) IsStream() bool                { return false }
+func (okResponse) Limit() (endpoint.Limit, bool) { return endpoint.Limit{}, true }
+func (okResponse) Body() ([]byte, error)         { return []byte("done"), nil }
 func (okResponse) Next() (gateway.Event, error) {
 	return gateway.Event{}, errors.New("response is not a stream")
 }
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -47,6 +47,9 @@
 	Header() http.Header
 	// NotRun reports whether the endpoint states that it did not run the request.
 	NotRun() bool
+	// Limit returns the rate limit that the endpoint names in the response, and whether the
+	// response tells if there is one.
+	Limit() (endpoint.Limit, bool)
 	// IsStream reports whether the response is a stream of events.
 	IsStream() bool
 	// Body returns the whole body, or an error if it is incomplete or too long.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -77,6 +77,7 @@
 		return fullResponse{}, err
 	}
 	defer response.Close()
+	c.recordLimit(t, response)
 	body, err := response.Body()
 	if response.NotRun() {
 		return fullResponse{notRun: true, status: response.Status()}, nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -144,6 +144,7 @@
 		return err
 	}
 	defer response.Close()
+	s.recordLimit(s.target, response)
 	if response.NotRun() {
 		s.attempts--
 		return errNotRun
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Behavior is the way a worker responds to requests.
@@ -51,10 +52,14 @@
 	instanceID string
 	// streaming selects responses that are streams of eventCount events.
 	streaming bool
-	// mu guards behavior, executions and lastEventGate.
+	// mu guards the fields below it but eventCount.
 	mu         sync.Mutex
 	behavior   Behavior
 	executions []Execution
+	// limit is the value of the header Server-Limit in all responses, empty for none.
+	limit string
+	// arrivals holds when each request arrived, also those that were refused.
+	arrivals []time.Time
 	// eventCount is the number of events in a complete stream.
 	eventCount int
 	// lastEventGate delays the last event of each stream until it is closed; nil for no
@@ -75,6 +80,21 @@
 	w.behavior = b
 }
 
+// SetLimit sets the rate limit that all later responses name, in requests per second; an
+// empty one ends it. The worker itself does not enforce the limit.
+func (w *Worker) SetLimit(perSecond string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = perSecond
+}
+
+// Arrivals returns when each request arrived so far. Refused requests are included.
+func (w *Worker) Arrivals() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]time.Time(nil), w.arrivals...)
+}
+
 // HoldLastEvent delays the last event of all later streams until the returned function
 // is called. The function must be called at most once.
 func (w *Worker) HoldLastEvent() func() {
@@ -101,7 +121,11 @@
 	}
 	w.mu.Lock()
 	behavior, lastEventGate := w.behavior, w.lastEventGate
+	w.arrivals = append(w.arrivals, time.Now())
 	h := out.Header()
+	if w.limit != "" {
+		h.Set("Server-Limit", w.limit)
+	}
 	h.Set("Request-Id", r.Header.Get("Request-Id"))
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.instanceID {
 		w.mu.Unlock()
