Take a permit for each request to an endpoint that names a rate limit

Cause: nothing read the limit. Class: a bound that holds for the whole fleet, while each front decides alone.

Fix: fronts tell each other the limits that they read, with age and incarnation. One front, by rendezvous hashing, issues the permits of an endpoint; a front takes one before it sends. A front that misses others of the last ten seconds issues a part of the rate only. Limited endpoints are used after the others, hedges leave them out, and a request that the limits leave no room for is refused at once with the expected wait.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -31,6 +31,9 @@
 	// maxGossipLoads bounds the endpoints in a datagram, those with the highest loads; each
 	// takes up to 16 bytes.
 	maxGossipLoads = 1500
+	// maxGossipLimits bounds the rate limits in a datagram, each of which takes up to 30
+	// bytes; if there are more, each datagram has the next ones.
+	maxGossipLimits = 60
 	// maxDatagramBytes is the size of the receive buffer; the rest of a longer datagram
 	// is lost.
 	maxDatagramBytes = 32 << 10
@@ -89,9 +92,40 @@
 	for _, load := range loads {
 		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: load.Endpoint, Running: uint32(load.Running)})
 	}
+	g.Limits = limitsToGossip(m.config.Directory.Limits(now), g.GetSequence())
 	return g
 }
 
+// limitsToGossip returns the limits for the datagram of a sequence number.
+func limitsToGossip(reports []endpoint.LimitReport, sequence uint64) []*meshpb.EndpointLimit {
+	slices.SortFunc(reports, func(a, b endpoint.LimitReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	var out []*meshpb.EndpointLimit
+	for i := range min(len(reports), maxGossipLimits) {
+		r := reports[(sequence*maxGossipLimits+uint64(i))%uint64(len(reports))]
+		out = append(out, &meshpb.EndpointLimit{
+			Endpoint: r.Endpoint, StartedUnixMs: r.StartedUnixMS, Named: r.Named, PerSecond: r.PerSecond, AgeMs: uint32(min(math.MaxUint32, r.Age.Milliseconds())),
+		})
+	}
+	return out
+}
+
+// applyLimits passes the rate limits that another front has read on to the directory.
+func (m *Mesh) applyLimits(g *meshpb.Gossip, now time.Time) {
+	var reports []endpoint.LimitReport
+	for _, l := range g.GetLimits() {
+		if l.GetPerSecond() < 0 || math.IsNaN(l.GetPerSecond()) {
+			continue
+		}
+		reports = append(reports, endpoint.LimitReport{
+			Endpoint: l.GetEndpoint(), StartedUnixMS: l.GetStartedUnixMs(), Limit: endpoint.Limit{Named: l.GetNamed(), PerSecond: l.GetPerSecond()},
+			Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	for _, id := range m.config.Directory.ApplyLimits(reports, now) {
+		m.config.Logger.Info("endpoint limit learnt", zap.String("endpoint", id), zap.String("front", g.GetName()))
+	}
+}
+
 // receiveGossip handles datagrams until the socket is closed. It ignores those that
 // can't be decoded, carry no name or weight, or come from this front itself.
 func (m *Mesh) receiveGossip() {
@@ -124,6 +158,7 @@
 		loads = append(loads, endpoint.Load{Endpoint: load.GetEndpoint(), Running: int(load.GetRunning())})
 	}
 	m.config.Directory.UpdatePeerLoads(g.GetName(), loads, now)
+	m.applyLimits(g, now)
 	for _, crash := range g.GetCrashes() {
 		m.crashes.add(crash.GetRequest(), crash.GetAttempt(), now)
 	}
--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -30,14 +30,17 @@
 			for i := range test.endpoints {
 				service := fmt.Sprint("s-", i)
 				m.config.Directory.Put(endpoint.Registration{ID: fmt.Sprint("i-", i), Service: service, Address: "127.0.0.1:1", State: endpoint.Ready, Slots: 8}, time.Now())
-				_, result := m.config.Directory.Pick(endpoint.Query{Service: service}, time.Now())
+				target, result := m.config.Directory.Pick(endpoint.Query{Service: service}, time.Now())
 				require.Equal(t, endpoint.Picked, result)
+				m.config.Directory.RecordLimit(target, endpoint.Limit{Named: true, PerSecond: 1.0 / 3}, time.Now())
+				m.RecordCrash(uint64(i), uint64(i))
 			}
 			g := m.newGossip(time.Now())
 			data, err := proto.Marshal(g)
 			require.NoError(t, err)
 			require.LessOrEqual(t, len(data), maxDatagramBytes)
 			require.NotEmpty(t, g.GetLoads())
+			require.NotEmpty(t, g.GetLimits())
 		})
 	}
 }
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavendervale/lavendervale/adapter/session"
 	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/permit"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -78,6 +79,8 @@
 	peers    *peerTable
 	crashes  *crashRegistry
 	replicas *replicaStore
+	// permits issues the permits of the endpoints that this front is the issuer of.
+	permits *permit.Issuer
 	// sessions holds the multiplexed connections to other fronts.
 	sessions *session.Pool
 	// datagrams is the UDP socket for gossip, listener the TCP socket for requests; both
@@ -105,7 +108,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	m := &Mesh{
 		started: make(chan struct{}),
-		config:  c, peers: newPeerTable(c.Name, c.Weight), crashes: newCrashRegistry(), replicas: newReplicaStore(), datagrams: datagrams, listener: listener,
+		config:  c, peers: newPeerTable(c.Name, c.Weight), crashes: newCrashRegistry(), replicas: newReplicaStore(), permits: permit.NewIssuer(), datagrams: datagrams, listener: listener,
 		sessions: session.NewPool(session.PoolConfig{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}),
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -237,13 +237,13 @@
 	best := target{name: t.self}
 	bestScore := math.Inf(-1)
 	if includeSelf && t.selfWeight >= minWeight {
-		bestScore = rendezvousScore(t.self, shard, t.selfWeight)
+		bestScore = rendezvousScore(t.self, uint64(shard), t.selfWeight)
 	}
 	for _, p := range t.peers {
 		if !p.canBeHome(now, includeStarting) || p.weight < minWeight || (requireStore && p.storeLost) {
 			continue
 		}
-		if score := rendezvousScore(p.name, shard, p.weight); score > bestScore {
+		if score := rendezvousScore(p.name, uint64(shard), p.weight); score > bestScore {
 			best, bestScore = p.target(), score
 		}
 	}
@@ -269,10 +269,10 @@
 	return greatest
 }
 
-// rendezvousScore returns the weighted rendezvous score of a front for a shard, by the
-// logarithmic method of Schindelhauer and Schomaker.
-func rendezvousScore(name string, shard int, weight float64) float64 {
-	hash := xxhash.Sum64String(name + "/" + strconv.Itoa(shard))
+// rendezvousScore returns the weighted rendezvous score of a front for a key, such as a shard,
+// by the logarithmic method of Schindelhauer and Schomaker.
+func rendezvousScore(name string, key uint64, weight float64) float64 {
+	hash := xxhash.Sum64String(name + "/" + strconv.FormatUint(key, 10))
 	uniform := (float64(hash>>11) + 0.5) / float64(uint64(1)<<53)
 	return -weight / math.Log(uniform)
 }
--- /dev/null
+++ b/adapter/mesh/permits.go
@@ -0,0 +1,82 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
+	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/permit"
+	"github.com/lavendervale/lavendervale/turn"
+)
+
+const (
+	// permitTimeout bounds the wait for the reply of an issuer.
+	permitTimeout = 120 * time.Millisecond
+	// permitMemory is how long a front that has gone silent may still issue permits, as far
+	// as the others know. Meanwhile its successors issue a part of the rate only.
+	permitMemory = 10 * time.Second
+)
+
+// TakePermit takes a permit for one request to an endpoint that names a rate limit, from the
+// front that issues its permits, and returns 0. If none is free, it returns how long until the
+// next one is. Errors are of KindUnreachable, or of turn.KindUnavailable when the other front
+// is not the issuer.
+func (m *Mesh) TakePermit(ctx context.Context, t endpoint.Target) (time.Duration, error) {
+	e := permit.Endpoint{Key: endpoint.Key(t.ID()), StartedUnixMS: t.Registration().StartedUnixMS}
+	issuer, share := m.peers.issuer(e.Key, time.Now(), !m.leaving.Load())
+	if issuer.name == m.config.Name {
+		return m.permits.Take(e, share*t.Limit().PerSecond, time.Now()), nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	reply, err := m.roundTrip(callCtx, issuer, &meshpb.Request{Body: &meshpb.Request_TakePermit{TakePermit: &meshpb.TakePermit{
+		Endpoint: e.Key, StartedUnixMs: e.StartedUnixMS, PerSecond: t.Limit().PerSecond,
+	}}}, permitTimeout)
+	if err != nil {
+		if ctx.Err() == nil && callCtx.Err() != nil {
+			go m.probe(issuer)
+		}
+		return 0, err
+	}
+	return max(0, time.Duration(reply.GetPermit().GetWaitUs())*time.Microsecond), nil
+}
+
+// handleTakePermit replies with a permit, or a Fault when this front is not the issuer.
+func (h requestHandler) handleTakePermit(r *meshpb.TakePermit) error {
+	m, now := h.mesh, time.Now()
+	issuer, share := m.peers.issuer(r.GetEndpoint(), now, !m.leaving.Load())
+	if issuer.name != m.config.Name {
+		return h.replyFault(turn.Errorf("issue permit", turn.KindUnavailable, "front %s issues the permits of the endpoint", issuer.name))
+	}
+	wait := m.permits.Take(permit.Endpoint{Key: r.GetEndpoint(), StartedUnixMS: r.GetStartedUnixMs()}, share*r.GetPerSecond(), now)
+	return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Permit{Permit: &meshpb.Permit{WaitUs: int64((wait + time.Microsecond - 1) / time.Microsecond)}}})
+}
+
+// issuer returns the front that issues the permits of an endpoint, by rendezvous hashing over
+// the fronts alive, and the part of the rate that it may issue. That is the part of the fronts
+// seen within permitMemory that are alive: the others may be cut off, with an issuer of their
+// own.
+func (t *peerTable) issuer(key uint64, now time.Time, includeSelf bool) (target, float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, bestScore := target{name: t.self}, 0.0
+	if includeSelf {
+		bestScore = rendezvousScore(t.self, key, t.selfWeight)
+	}
+	alive, seen := 1, 1
+	for _, p := range t.peers {
+		if p.leaving || p.lastGossipAt.IsZero() || now.Sub(p.lastGossipAt) > permitMemory {
+			continue
+		}
+		seen++
+		if !p.alive(now) {
+			continue
+		}
+		alive++
+		if score := rendezvousScore(p.name, key, p.weight); score > bestScore {
+			best, bestScore = p.target(), score
+		}
+	}
+	return best, float64(alive) / float64(seen)
+}
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -110,6 +110,8 @@
 		return h.handleStoreCall(ctx, r.GetStore())
 	case r.GetCopies() != nil:
 		return h.handleCopies(ctx, r.GetFrom(), r.GetCopies())
+	case r.GetTakePermit() != nil:
+		return h.handleTakePermit(r.GetTakePermit())
 	case r.GetFetch() != nil:
 		records := m.replicas.forShard(int(r.GetFetch().GetShard()))
 		return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Copies{Copies: &meshpb.Copies{Records: records}}})
--- a/dispatch/error.go
+++ b/dispatch/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Kind classifies the errors of this package.
@@ -25,6 +26,8 @@
 	op   string
 	kind Kind
 	err  error
+	// retryAfter is when the request may be served, for errors of KindOverload.
+	retryAfter time.Duration
 }
 
 // Errorf returns an Error of operation op. Like fmt.Errorf, it wraps the operand of %w.
@@ -42,6 +45,16 @@
 	return KindNoEndpoint
 }
 
+// RetryAfter returns after how long the first Error that err wraps expects room for the
+// request, or 0 if that is unknown.
+func RetryAfter(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.retryAfter
+	}
+	return 0
+}
+
 // Error returns the operation and the message.
 func (e *Error) Error() string { return e.op + ": " + e.err.Error() }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -15,6 +15,9 @@
 	// DueAt is when the request or its program should be finished. Of requests of equal
 	// rank, the one that is due first is served first.
 	DueAt time.Time
+	// GiveUpAt is until when the request may wait for a service of which endpoints name rate
+	// limits; zero is until its end. It has no influence on the order.
+	GiveUpAt time.Time
 }
 
 // Before reports whether a request of priority p is served before one of priority
@@ -32,6 +35,9 @@
 	// the query, only Service, MaxQueued, Once and ExcludedIDs determine whether an
 	// endpoint is free; the other fields determine which one is selected.
 	Pick(q endpoint.Query, now time.Time) (endpoint.Target, endpoint.PickResult)
+	// LimitedThroughput returns the rate at which requests of a kind can be sent to a
+	// service, or false if none of its endpoints names a rate limit.
+	LimitedThroughput(service, kind string, now time.Time) (endpoint.Throughput, bool)
 	// Changed returns a channel that is closed when an endpoint may have room.
 	Changed() <-chan struct{}
 }
@@ -44,6 +50,9 @@
 	// maxPassedOver is how many lines of a service are passed over at most when an
 	// endpoint may have become free; further ones are tried after maxGrantInterval.
 	maxPassedOver = 32
+	// overloadInterval is the time between two checks whether a waiting request will be
+	// served in time.
+	overloadInterval = 100 * time.Millisecond
 )
 
 // Queue holds the requests of all services that wait for an endpoint. It is safe for
@@ -75,22 +84,40 @@
 
 // Acquire waits until an endpoint is free that no request of higher priority can use, and
 // returns that endpoint. It returns an error of KindNoEndpoint when the service has no
-// usable endpoint for the request, and of KindTimeout when ctx ends first.
+// usable endpoint for the request, of KindTimeout when ctx ends first, and of KindOverload when
+// the rate limits of endpoints leave no room for the request before its GiveUpAt.
 func (q *Queue) Acquire(ctx context.Context, priority Priority, query endpoint.Query) (endpoint.Target, error) {
 	w := q.enqueue(priority, query)
-	select {
-	case <-w.decided:
-		return w.target, w.decisionError()
-	case <-ctx.Done():
+	for {
+		select {
+		case <-w.decided:
+			return w.target, w.decisionError()
+		default:
+		}
+		if err := q.overload(w, time.Now()); err != nil {
+			return q.leave(w, err)
+		}
+		select {
+		case <-w.decided:
+			return w.target, w.decisionError()
+		case <-time.After(overloadInterval):
+		case <-ctx.Done():
+			return q.leave(w, Errorf("find endpoint", KindTimeout, "no endpoint of service %s had room in time", query.Service))
+		}
 	}
+}
+
+// leave removes a request from the queue and returns err, unless the request was decided in
+// the meantime.
+func (q *Queue) leave(w *waiter, err error) (endpoint.Target, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if w.heapIndex < 0 {
 		return w.target, w.decisionError()
 	}
-	q.waitersByService[query.Service].remove(w)
-	q.dropIfEmpty(query.Service)
-	return endpoint.Target{}, Errorf("find endpoint", KindTimeout, "no endpoint of service %s had room in time", query.Service)
+	q.waitersByService[w.query.Service].remove(w)
+	q.dropIfEmpty(w.query.Service)
+	return endpoint.Target{}, err
 }
 
 // enqueue adds a request to the queue. The first in its line is tried at once, after the
--- a/endpoint/cost.go
+++ b/endpoint/cost.go
@@ -42,6 +42,9 @@
 	if now.Before(e.coldUntil) {
 		penalty += coldShare
 	}
+	if e.limit.Named && e.registration.ID != q.PreferredID {
+		penalty += limitedShare
+	}
 	penalty += e.slowdown.excessIfSlow(now) + jitterShare*rand.Float64()
 	cost := penalty * typicalMS
 	if !q.IgnoreDomain && e.registration.Domain == q.LocalDomain {
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -82,7 +82,7 @@
 	if ok {
 		d.drop(old)
 	}
-	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State}
+	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State, addedAt: now}
 	if r.ColdFor > 0 {
 		added.coldUntil = now.Add(r.ColdFor)
 	}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -44,6 +44,8 @@
 	// key is the Key of the endpoint's ID.
 	key   uint64
 	state State
+	// addedAt is when this instance first saw the registration of the incarnation.
+	addedAt time.Time
 	// missingSince is when the registration went missing, or zero while it is present.
 	missingSince time.Time
 	// localRunning is the number of requests of this instance at the endpoint.
@@ -54,7 +56,7 @@
 	coldUntil time.Time
 	health    health
 	slowdown  slowdown
-	limit     observedLimit
+	limit     limitState
 }
 
 // Target is the endpoint picked for one request. Its zero value is no endpoint.
@@ -65,6 +67,8 @@
 	// kind is the kind of the request, from Query.Kind.
 	kind     string
 	pickedAt time.Time
+	// limit is the rate limit of the endpoint when it was picked.
+	limit Limit
 }
 
 // Registration returns the registration of the endpoint when it was picked.
@@ -79,6 +83,10 @@
 // Domain returns the failure domain.
 func (t Target) Domain() string { return t.registration.Domain }
 
+// Limit returns the rate limit that the endpoint named when it was picked. If there is one, the
+// request must not be sent before PermitTaken.
+func (t Target) Limit() Limit { return t.limit }
+
 // Zero reports whether t is the zero value.
 func (t Target) Zero() bool { return t.registration.ID == "" }
 
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -21,6 +21,8 @@
 	// ExcludedIDs are endpoints that must not be picked, as they failed or refused the
 	// request.
 	ExcludedIDs map[string]bool
+	// Unlimited leaves out endpoints that name a rate limit.
+	Unlimited bool
 	// IgnoreDomain makes the cost independent of the failure domain.
 	IgnoreDomain bool
 }
@@ -39,7 +41,8 @@
 )
 
 // Pick returns the endpoint with the lowest expected cost for a request and counts the
-// request there; the caller must call Release. Ejected endpoints are skipped unless no other
+// request there; the caller must call Release. If the endpoint names a limit, the caller must
+// first take a permit and call PermitTaken or, in place of Release, PermitDenied. Ejected endpoints are skipped unless no other
 // one is usable or too many are ejected.
 func (d *Directory) Pick(q Query, now time.Time) (Target, PickResult) {
 	d.mu.Lock()
@@ -54,7 +57,8 @@
 		return Target{}, result
 	}
 	best.localRunning++
-	return Target{endpoint: best, registration: best.registration, kind: q.Kind, pickedAt: now}, Picked
+	best.limit.permitPending = best.limit.Named
+	return Target{endpoint: best, registration: best.registration, kind: q.Kind, pickedAt: now, limit: best.limit.Limit}, Picked
 }
 
 // canEject reports whether few enough endpoints are ejected to do without them; d.mu must be held.
@@ -82,7 +86,7 @@
 		if !d.usable(e, now) || q.ExcludedIDs[e.registration.ID] || (skipEjected && e.health.ejected(q.Once, now)) {
 			continue
 		}
-		if e.load() >= e.registration.Slots+q.MaxQueued {
+		if e.load() >= e.registration.Slots+q.MaxQueued || e.limit.blocked(now) || (q.Unlimited && e.limit.Named) {
 			result = AllBusy
 			continue
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,8 @@
 	TurnTracker TurnTracker
 	// CrashTracker remembers requests that crash endpoints.
 	CrashTracker CrashTracker
+	// Permits issues permits for endpoints that name a rate limit.
+	Permits PermitIssuer
 	// Metrics counts and times requests.
 	Metrics *Metrics
 	// Logger receives one line per request, and one per failure of an endpoint.
@@ -65,6 +67,9 @@
 	// maxRetryAfter is the longest Retry-After of a temporary refusal whose cause lasts for
 	// an unknown time.
 	maxRetryAfter = 150 * time.Millisecond
+	// maxWaitRatio is the part of its time that a request may wait for a service of which
+	// endpoints name rate limits; the rest is for the request itself or a retry elsewhere.
+	maxWaitRatio = 0.5
 	// shutdownRetryAfter is the Retry-After of a refusal during shutdown; it is short
 	// because another instance serves the retry.
 	shutdownRetryAfter = 10 * time.Millisecond
@@ -192,17 +197,21 @@
 	c.logRequest("refused", r.Status, r.Reason)
 }
 
-// acquire waits in the queue for an endpoint and stores it in c.target; the caller must
-// release the target.
+// acquire waits in the queue for an endpoint and, if that names a rate limit, for a permit. It
+// stores the endpoint in c.target; the caller must release the target.
 func (c *call) acquire(ctx context.Context, query endpoint.Query, priority dispatch.Priority) error {
 	started := time.Now()
-	t, err := c.Queue.Acquire(ctx, priority, query)
-	c.queueTime += time.Since(started)
-	if err != nil {
-		return err
+	defer func() { c.queueTime += time.Since(started) }()
+	for {
+		t, err := c.Queue.Acquire(ctx, priority, query)
+		if err != nil {
+			return err
+		}
+		if c.takePermit(ctx, t) {
+			c.target = t
+			return nil
+		}
 	}
-	c.target = t
-	return nil
 }
 
 // queuePriority returns the priority of the request in the queue: its rank, then the
@@ -212,7 +221,8 @@
 	if dueAt.IsZero() {
 		dueAt = c.request.ReceivedAt.Add(c.route.LatencyTarget())
 	}
-	return dispatch.Priority{Rank: c.route.Rank(), DueAt: dueAt}
+	maxWait := time.Duration(maxWaitRatio * float64(c.deadline.Sub(c.request.ReceivedAt)))
+	return dispatch.Priority{Rank: c.route.Rank(), DueAt: dueAt, GiveUpAt: c.request.ReceivedAt.Add(maxWait)}
 }
 
 // excludeTarget excludes the current target from further attempts of the request.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -122,7 +122,7 @@
 // returns false if the request, the hedge budget or the endpoints do not permit one.
 func (c *call) pickHedge() (endpoint.Target, bool) {
 	q := c.plainQuery()
-	q.MaxQueued = 0
+	q.MaxQueued, q.Unlimited = 0, true
 	q.ExcludedIDs = map[string]bool{c.target.ID(): true}
 	for id := range c.excludedIDs {
 		q.ExcludedIDs[id] = true
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,6 +15,7 @@
 	queueTime      *prometheus.HistogramVec
 	firstEventTime prometheus.Histogram
 	hedges         prometheus.Counter
+	permits        *prometheus.CounterVec
 }
 
 // latencyBuckets are the histogram bounds in seconds, from 2 ms to about 4 s.
@@ -43,7 +44,10 @@
 	m.hedges = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "lavendervale_hedges_total", Help: "Idempotent requests sent to a second endpoint because their answer was overdue.",
 	})
-	r.MustRegister(m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges)
+	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavendervale_permits_total", Help: "Permits asked for at endpoints that name a rate limit, by result.",
+	}, []string{"result"})
+	r.MustRegister(m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits)
 	return m
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/route"
 )
@@ -113,7 +114,7 @@
 	case c.possiblyRan:
 		c.refuse(c, w, Refusal{Status: http.StatusBadGateway, Reason: "all attempts at endpoints failed: " + firstMessage(lastErr, err)})
 	default:
-		c.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, RetryAfter: c.retryAfter(), Reason: err.Error()})
+		c.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, RetryAfter: c.retryAfter(err), Reason: err.Error()})
 	}
 }
 
@@ -127,14 +128,18 @@
 	return "unknown"
 }
 
-// retryAfter returns when the caller may retry: after at most a quarter of the time left
-// until its deadline, or 0 if none is left.
-func (c *call) retryAfter() time.Duration {
+// retryAfter returns when the caller may retry after err: after at most a quarter of the time
+// left until its deadline, or 0 if none is left.
+func (c *call) retryAfter(err error) time.Duration {
 	remaining := time.Until(c.deadline)
 	if remaining <= 0 {
 		return 0
 	}
-	return min(maxRetryAfter, remaining/4)
+	wait := maxRetryAfter
+	if dispatch.KindOf(err) == dispatch.KindOverload {
+		wait = dispatch.RetryAfter(err)
+	}
+	return min(wait, remaining/4)
 }
 
 // maxQueuedPlain is how many requests beyond its slots a plain endpoint may hold.
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -85,7 +85,7 @@
 	case turn.KindOf(err) == turn.KindNotFound:
 		c.refuse(c, w, Refusal{Status: http.StatusNotFound, Reason: err.Error()})
 	default:
-		c.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, RetryAfter: c.retryAfter(), Reason: err.Error()})
+		c.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, RetryAfter: c.retryAfter(err), Reason: err.Error()})
 	}
 }
 
