Log the software version of endpoints and the attempt that a stream resumes

Callers got streams with events of two software versions; no line told the version of an endpoint, nor that a request resumes a stream, after which event and begun by which attempt.

The stand-in endpoint can write its version into its events. No decision uses it yet.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -25,6 +25,8 @@
 	StartedUnixMS int64
 	// Service is the name of the service that the endpoint belongs to.
 	Service string
+	// Version is the version of the endpoint's software.
+	Version string
 	// Address is an IP address and a port.
 	Address string
 	// Domain is the failure domain of the endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -244,7 +244,7 @@
 		go c.recordCrashIfDown(c.target)
 	}
 	c.Logger.Warn("endpoint failed", zap.String("request", c.request.ID), zap.String("endpoint", c.target.ID()),
-		zap.String("address", c.target.Address()), zap.Int("events", c.eventCount), zap.Error(err))
+		zap.String("address", c.target.Address()), zap.String("version", c.target.Registration().Version), zap.Int("events", c.eventCount), zap.Error(err))
 }
 
 // recordLimit reports the rate limit that an endpoint named in a response to the directory,
@@ -297,6 +297,12 @@
 	}
 	if !c.target.Zero() {
 		fields = append(fields, zap.String("endpoint", c.target.ID()))
+		if v := c.target.Registration().Version; v != "" {
+			fields = append(fields, zap.String("version", v))
+		}
+	}
+	if r.LastEventID != "" {
+		fields = append(fields, zap.String("after", r.LastEventID), zap.String("resumes", r.Resumes))
 	}
 	if c.holder != "" {
 		fields = append(fields, zap.String("holder", c.holder))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,6 +44,9 @@
 	// LastEventID is the identifier of the last event that the caller has received, after
 	// which it resumes a stream, or empty.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of that stream, or
+	// empty.
+	Resumes string
 }
 
 // Refusal is an error response that the gateway produces itself.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -60,6 +60,8 @@
 	limit string
 	// arrivals holds when each request arrived, also those that were refused.
 	arrivals []time.Time
+	// version is appended to the data of each event, after a space; empty for none.
+	version string
 	// eventCount is the number of events in a complete stream.
 	eventCount int
 	// lastEventGate delays the last event of each stream until it is closed; nil for no
@@ -88,6 +90,13 @@
 	w.limit = perSecond
 }
 
+// SetVersion sets the software version that the data of all later events names.
+func (w *Worker) SetVersion(version string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version = version
+}
+
 // Arrivals returns when each request arrived so far. Refused requests are included.
 func (w *Worker) Arrivals() []time.Time {
 	w.mu.Lock()
@@ -120,7 +129,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.mu.Lock()
-	behavior, lastEventGate := w.behavior, w.lastEventGate
+	behavior, lastEventGate, suffix := w.behavior, w.lastEventGate, ""
+	if w.version != "" {
+		suffix = " " + w.version
+	}
 	w.arrivals = append(w.arrivals, time.Now())
 	h := out.Header()
 	if w.limit != "" {
@@ -151,7 +163,7 @@
 		h.Set("Response-Stamp", "stamp-"+w.instanceID)
 	}
 	if w.streaming {
-		w.serveStream(out, r, behavior, lastEventGate)
+		w.serveStream(out, r, behavior, lastEventGate, suffix)
 		return
 	}
 	text := "answer of " + w.instanceID + " to " + r.Header.Get("Request-Id")
@@ -164,8 +176,8 @@
 }
 
 // serveStream sends the events that follow the one named by the header Last-Event-Id, or
-// all events if there is none.
-func (w *Worker) serveStream(out http.ResponseWriter, r *http.Request, behavior Behavior, lastEventGate chan struct{}) {
+// all events if there is none. suffix is appended to their data.
+func (w *Worker) serveStream(out http.ResponseWriter, r *http.Request, behavior Behavior, lastEventGate chan struct{}, suffix string) {
 	out.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(out)
 	lastEventID := 0
@@ -178,7 +190,7 @@
 				return
 			}
 		}
-		_, _ = fmt.Fprintf(out, "id: %d\ndata: word%d\n\n", eventID, eventID)
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: word%d%s\n\n", eventID, eventID, suffix)
 		_ = controller.Flush()
 		if behavior == TruncatedResponse && eventID == 1 {
 			_, _ = io.WriteString(out, "id: 2\nda")
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -28,7 +28,7 @@
 }
 
 // identifierFields are the fields that hold the identifier of a request, turn or program.
-var identifierFields = []string{"request", "program", "previous", "turn"}
+var identifierFields = []string{"request", "program", "previous", "turn", "resumes"}
 
 // stateChanges are the messages that report a change in what a process knows about
 // endpoints, the store, the configuration or itself.
