List the tests of streams that mix two software versions

Two engines each of v1 and v1.1 break off all streams after the first event. On the current code a front resumes them at the other version within one response, callers that name the first attempt at another front get the other version, and a stream that nobody knows is resumed at either.

--- a/daemon/front_site_test.go
+++ b/daemon/front_site_test.go
@@ -36,12 +36,14 @@
 	shops        []*worker.Worker
 	// version is that of the last published configuration.
 	version int64
+	// maxAttempts is that of the resumable route.
+	maxAttempts int
 	// frontCount is the number of fronts started.
 	frontCount int
 }
 
 func newPlatformSite(t *testing.T) *platformSite {
-	s := &platformSite{t: t, store: store.New()}
+	s := &platformSite{t: t, store: store.New(), maxAttempts: 2}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
 	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
@@ -57,7 +59,7 @@
 	s.version += 3
 	routes := []map[string]any{
 		{"name": "chat", "hostname": chatHost, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 8000, "service": "llm", "max_attempts": 1, "stateful": true, "retention_s": 60.0, "sticky": true},
-		{"name": "survey", "hostname": chatHost, "path_prefix": "/survey/", "kind": "streaming", "timeout_ms": 8000, "service": "llm", "max_attempts": 2, "resumable": true},
+		{"name": "survey", "hostname": chatHost, "path_prefix": "/survey/", "kind": "streaming", "timeout_ms": 8000, "service": "llm", "max_attempts": s.maxAttempts, "resumable": true},
 		{"name": "look", "hostname": chatHost, "path_prefix": "/look/", "kind": "safe", "timeout_ms": 8000, "service": "shop", "max_attempts": 2},
 		{"name": "pay", "hostname": chatHost, "path_prefix": "/pay/", "kind": "unsafe", "timeout_ms": 8000, "service": "shop", "max_attempts": 1},
 	}
@@ -82,10 +84,25 @@
 	return w
 }
 
-// announce writes the entry of an endpoint to the store.
+// announce writes the entry of an endpoint of version v1 to the store.
 func (s *platformSite) announce(id, service, address, state string) {
+	s.announceVersion(id, service, "v1", address, state)
+}
+
+// announceVersion writes the entry of an endpoint to the store.
+func (s *platformSite) announceVersion(id, service, version, address, state string) {
 	s.store.Put("keyed.servers", id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, state))
+		`{"service":%q,"address":%q,"zone":"a","version":%q,"slots":4,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, version, state))
+}
+
+// startEngine starts a simulated engine of a software version and announces it as ready.
+func (s *platformSite) startEngine(id, version string) *worker.Worker {
+	w := worker.New(id, true)
+	w.SetVersion(version)
+	server := httptest.NewServer(w)
+	s.t.Cleanup(server.Close)
+	s.announceVersion(id, "llm", version, strings.TrimPrefix(server.URL, "http://"), "ready")
+	return w
 }
 
 // testFront is a running front.
