Resume streams at the software version that began them

Cause: a broken stream was resumed at any endpoint, by a front within one response and by the front that the caller came back to. Nothing kept which version had begun it. Class: state that outlives an attempt and silently assumes that all endpoints are alike.

Fix: a front keeps to the version of the first event, and remembers it for each resumable stream; while several versions serve, three more fronts in several failure domains remember it before the first event leaves. Who has to resume a stream asks them. With an unknown version and several serving, the request is refused as not run. A changed version ends an incarnation, and the queue's lines of equal requests tell versions apart.

Ruled out: a stale version in the directory as the source (the record's endpoint had served for 21 s; the tests fail with a correct directory).

--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavendervale/lavendervale/adapter/session"
 	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/origin"
 	"github.com/lavendervale/lavendervale/permit"
 	"github.com/lavendervale/lavendervale/turn"
 )
@@ -81,6 +82,8 @@
 	replicas *replicaStore
 	// permits issues the permits of the endpoints that this front is the issuer of.
 	permits *permit.Issuer
+	// origins holds the origins of streams that this front or another one serves.
+	origins *origin.Store
 	// sessions holds the multiplexed connections to other fronts.
 	sessions *session.Pool
 	// datagrams is the UDP socket for gossip, listener the TCP socket for requests; both
@@ -108,7 +111,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	m := &Mesh{
 		started: make(chan struct{}),
-		config:  c, peers: newPeerTable(c.Name, c.Weight), crashes: newCrashRegistry(), replicas: newReplicaStore(), permits: permit.NewIssuer(), datagrams: datagrams, listener: listener,
+		config:  c, peers: newPeerTable(c.Name, c.Weight), crashes: newCrashRegistry(), replicas: newReplicaStore(), permits: permit.NewIssuer(), origins: origin.NewStore(), datagrams: datagrams, listener: listener,
 		sessions: session.NewPool(session.PoolConfig{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}),
--- /dev/null
+++ b/adapter/mesh/origins_test.go
@@ -0,0 +1,112 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
+	"github.com/lavendervale/lavendervale/origin"
+)
+
+// fleet starts fronts that take each other for alive for an hour. stop cuts one of them off all others.
+func fleet(t *testing.T, count int) (fronts []*Mesh, stop func(front int)) {
+	stops := make([]context.CancelFunc, count)
+	for i := range count {
+		front := newTestMesh(t, fmt.Sprint("front-", i))
+		front.config.Domain = fmt.Sprint("domain-", i%3)
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		stops[i] = cancel
+		go front.serve(ctx)
+		fronts = append(fronts, front)
+	}
+	for _, a := range fronts {
+		for _, b := range fronts {
+			if a == b {
+				continue
+			}
+			g := &meshpb.Gossip{Name: b.config.Name, Domain: b.config.Domain, Incarnation: 1, Sequence: 1, Weight: 1}
+			a.peers.applyGossip(g, b.Address(), time.Now().Add(time.Hour))
+		}
+	}
+	return fronts, func(front int) {
+		stops[front]()
+		_ = fronts[front].listener.Close()
+		fronts[front].sessions.Close()
+	}
+}
+
+func survey(attempt string) origin.Origin {
+	return origin.Origin{Attempt: attempt, Service: "s", Version: "v1.1", Sequence: 1}
+}
+
+// TestOriginSurvivesTheLossOfTwoFronts guards against streams that can't be resumed because the
+// front that began them and one more are lost at the same time.
+func TestOriginSurvivesTheLossOfTwoFronts(t *testing.T) {
+	fronts, stop := fleet(t, 8)
+	for i := range 20 {
+		fronts[0].RecordOrigin(t.Context(), survey(fmt.Sprint("attempt-", i)), true)
+	}
+	stop(0)
+	stop(1)
+	for i := range 20 {
+		for _, front := range fronts[2:] {
+			found, ok, _ := front.FindOrigin(t.Context(), fmt.Sprint("attempt-", i))
+			require.True(t, ok, i)
+			require.Equal(t, survey(fmt.Sprint("attempt-", i)), found)
+		}
+	}
+}
+
+// TestEarlierOriginsAreCopiedWhenAnotherVersionAppears guards against streams that began before
+// the second version did, and can't be resumed through another front.
+func TestEarlierOriginsAreCopiedWhenAnotherVersionAppears(t *testing.T) {
+	fronts, stop := fleet(t, 5)
+	fronts[0].RecordOrigin(t.Context(), survey("earlier"), false)
+	fronts[0].RecordOrigin(t.Context(), survey("later"), true)
+	require.Eventually(t, func() bool {
+		copies := 0
+		for _, front := range fronts[1:] {
+			if _, ok := front.origins.Find("earlier"); ok {
+				copies++
+			}
+		}
+		return copies >= minOriginCopies
+	}, 5*time.Second, time.Millisecond)
+	stop(0)
+	_, ok, _ := fronts[1].FindOrigin(t.Context(), "earlier")
+	require.True(t, ok)
+}
+
+// TestSearchOfAnOriginTellsWhoDidNotAnswer checks that an unknown origin is told from one that a
+// silent front may know.
+func TestSearchOfAnOriginTellsWhoDidNotAnswer(t *testing.T) {
+	fronts, stop := fleet(t, 3)
+	_, ok, err := fronts[0].FindOrigin(t.Context(), "never")
+	require.NoError(t, err)
+	require.False(t, ok)
+	stop(1)
+	_, ok, err = fronts[0].FindOrigin(t.Context(), "never")
+	require.Error(t, err)
+	require.False(t, ok)
+	_, ok, err = newTestMesh(t, "alone").FindOrigin(t.Context(), "never")
+	require.Error(t, err)
+	require.False(t, ok)
+}
+
+// TestOriginHoldersAreInSeveralDomains checks that the loss of a domain leaves a copy.
+func TestOriginHoldersAreInSeveralDomains(t *testing.T) {
+	fronts, _ := fleet(t, 8)
+	for i := range 50 {
+		domains := map[string]bool{}
+		for _, holder := range fronts[0].originHolders(fmt.Sprint("attempt-", i), originCopies) {
+			require.NotEqual(t, "front-0", holder.name)
+			domains[holder.domain] = true
+		}
+		require.GreaterOrEqual(t, len(domains), 2)
+	}
+}
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -112,6 +112,11 @@
 		return h.handleCopies(ctx, r.GetFrom(), r.GetCopies())
 	case r.GetTakePermit() != nil:
 		return h.handleTakePermit(r.GetTakePermit())
+	case r.GetKeepOrigin() != nil:
+		m.origins.Put(originFromProto(r.GetKeepOrigin().GetOrigin()), time.Now())
+		return h.replyDone(nil)
+	case r.GetFindOrigin() != nil:
+		return h.handleFindOrigin(r.GetFindOrigin())
 	case r.GetFetch() != nil:
 		records := m.replicas.forShard(int(r.GetFetch().GetShard()))
 		return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Copies{Copies: &meshpb.Copies{Records: records}}})
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -138,7 +138,7 @@
 	f.storeWatch = platform.NewWatcher(platform.WatcherConfig{Store: f.store, Routes: f.routes, Directory: f.directory, AddPeer: f.mesh.AddFront, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient,
-		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
+		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Logger: c.Logger})
 }
--- a/dispatch/head_of_line_test.go
+++ b/dispatch/head_of_line_test.go
@@ -164,3 +164,25 @@
 		})
 	}
 }
+
+// TestResumedStreamHoldsUpNoOther guards against requests that wait behind a stream whose version
+// has no free endpoint.
+func TestResumedStreamHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(t)
+		c.directory.Put(endpoint.Registration{ID: "other", Service: "s", Version: "v2", Address: "127.0.0.1:3", Slots: 1}, time.Now())
+		other, err := c.queue.Acquire(t.Context(), dispatch.Priority{}, query)
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go func() {
+			_, _ = c.queue.Acquire(ctx, dispatch.Priority{DueAt: c.startedAt}, endpoint.Query{Service: "s", Version: "v2"})
+		}()
+		synctest.Wait()
+		c.directory.Release(c.free)
+		_, err = c.queue.Acquire(ctx, dispatch.Priority{DueAt: c.startedAt.Add(time.Second)}, query)
+		require.NoError(t, err, "an endpoint of the other version is free")
+		c.directory.Release(other)
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -41,7 +41,11 @@
 // without an endpoint, and nil otherwise.
 func (w *waiter) decisionError() error {
 	if w.target.Zero() {
-		return Errorf("find endpoint", KindNoEndpoint, "service %s has no usable endpoint apart from %d already tried", w.query.Service, len(w.query.ExcludedIDs))
+		version := ""
+		if w.query.Version != "" {
+			version = " of version " + w.query.Version
+		}
+		return Errorf("find endpoint", KindNoEndpoint, "service %s has no usable endpoint%s apart from %d already tried", w.query.Service, version, len(w.query.ExcludedIDs))
 	}
 	return nil
 }
@@ -50,12 +54,13 @@
 type lineKey struct {
 	maxQueued int
 	once      bool
+	version   string
 	// excludedIDs are the sorted IDs of the excluded endpoints.
 	excludedIDs string
 }
 
 func lineKeyOf(q endpoint.Query) lineKey {
-	k := lineKey{maxQueued: q.MaxQueued, once: q.Once}
+	k := lineKey{maxQueued: q.MaxQueued, once: q.Once, version: q.Version}
 	if len(q.ExcludedIDs) > 0 {
 		k.excludedIDs = strings.Join(slices.Sorted(maps.Keys(q.ExcludedIDs)), "\x00")
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -32,7 +32,7 @@
 // Directory selects endpoints. It is implemented by *endpoint.Directory.
 type Directory interface {
 	// Pick selects an endpoint for a request and counts the request as running there. Of
-	// the query, only Service, MaxQueued, Once and ExcludedIDs determine whether an
+	// the query, only Service, MaxQueued, Once, Version and ExcludedIDs determine whether an
 	// endpoint is free; the other fields determine which one is selected.
 	Pick(q endpoint.Query, now time.Time) (endpoint.Target, endpoint.PickResult)
 	// LimitedThroughput returns the rate at which requests of a kind can be sent to a
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -36,6 +36,8 @@
 	// removalsFinalUntil is when the store last answered outside of an outage and of
 	// storeReturnGrace after it. An endpoint whose registration was missing by then is gone.
 	removalsFinalUntil time.Time
+	// versions holds the software versions of all endpoints.
+	versions versionTable
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 	// lastExpiryAt is when dropExpired last searched for expired endpoints.
@@ -53,13 +55,14 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, peerReports: map[string]loadReport{}, typicalTimes: map[string]time.Duration{},
-		changed: make(chan struct{}),
+		versions: versionTable{},
+		changed:  make(chan struct{}),
 	}
 }
 
 // Put adds or updates an endpoint and reports whether the endpoint is new, present again or
 // in another state. A registration of an older incarnation than the known one is ignored.
-// One with another incarnation, address or service replaces the endpoint, whose load and
+// One with another incarnation, version, address or service replaces the endpoint, whose load and
 // health start anew.
 func (d *Directory) Put(r Registration, now time.Time) bool {
 	d.mu.Lock()
@@ -68,7 +71,7 @@
 	if ok && r.StartedUnixMS != 0 && old.registration.StartedUnixMS > r.StartedUnixMS {
 		return false
 	}
-	if ok && old.registration.StartedUnixMS == r.StartedUnixMS && old.registration.Address == r.Address && old.registration.Service == r.Service {
+	if ok && old.registration.StartedUnixMS == r.StartedUnixMS && old.registration.Version == r.Version && old.registration.Address == r.Address && old.registration.Service == r.Service {
 		changed := old.state != r.State || !old.missingSince.IsZero()
 		old.registration, old.state, old.missingSince = r, r.State, time.Time{}
 		if r.ColdFor > 0 {
@@ -80,13 +83,14 @@
 		return changed
 	}
 	if ok {
-		d.drop(old)
+		d.drop(old, now)
 	}
 	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State, addedAt: now}
 	if r.ColdFor > 0 {
 		added.coldUntil = now.Add(r.ColdFor)
 	}
 	d.byID[r.ID] = added
+	d.versions.add(r)
 	d.byService[r.Service] = append(d.byService[r.Service], added)
 	d.sumPeerLoads(now)
 	d.notifyChanged()
@@ -202,13 +206,18 @@
 	d.lastExpiryAt = now
 	for _, e := range d.byID {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) > missingRetention && !d.usable(e, now) {
-			d.drop(e)
+			d.drop(e, now)
 		}
 	}
 }
 
 // drop deletes an endpoint; d.mu must be held.
-func (d *Directory) drop(e *Endpoint) {
+func (d *Directory) drop(e *Endpoint, now time.Time) {
+	lastPresent := now
+	if !e.missingSince.IsZero() {
+		lastPresent = e.missingSince
+	}
+	d.versions.remove(e.registration, lastPresent)
 	delete(d.byID, e.registration.ID)
 	endpoints := d.byService[e.registration.Service]
 	for i, other := range endpoints {
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -21,6 +21,8 @@
 	// ExcludedIDs are endpoints that must not be picked, as they failed or refused the
 	// request.
 	ExcludedIDs map[string]bool
+	// Version is the only software version whose endpoints are considered, or empty for any.
+	Version string
 	// Unlimited leaves out endpoints that name a rate limit.
 	Unlimited bool
 	// IgnoreDomain makes the cost independent of the failure domain.
@@ -83,7 +85,7 @@
 	lowestCost, result := 0.0, NoneUsable
 	typicalTime := d.typicalTime(q.Kind)
 	for _, e := range endpoints {
-		if !d.usable(e, now) || q.ExcludedIDs[e.registration.ID] || (skipEjected && e.health.ejected(q.Once, now)) {
+		if !d.usable(e, now) || (q.Version != "" && e.registration.Version != q.Version) || q.ExcludedIDs[e.registration.ID] || (skipEjected && e.health.ejected(q.Once, now)) {
 			continue
 		}
 		if e.load() >= e.registration.Slots+q.MaxQueued || e.limit.blocked(now) || (q.Unlimited && e.limit.Named) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	Transport Transport
 	// TurnTracker admits and records turns.
 	TurnTracker TurnTracker
+	// Origins remembers the versions that began streams.
+	Origins OriginTracker
 	// CrashTracker remembers requests that crash endpoints.
 	CrashTracker CrashTracker
 	// Permits issues permits for endpoints that name a rate limit.
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/origin"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -82,6 +83,16 @@
 	End(ctx context.Context, r turn.EndRequest) error
 }
 
+// OriginTracker remembers which software version of an endpoint began each resumable stream.
+type OriginTracker interface {
+	// RecordOrigin remembers an origin. With copied set it returns once other instances
+	// remember it too, or do not answer.
+	RecordOrigin(ctx context.Context, o origin.Origin, copied bool)
+	// FindOrigin returns the origin of the stream that an attempt began, or false if no
+	// instance that was asked knows it. The error is set if some did not answer.
+	FindOrigin(ctx context.Context, attempt string) (origin.Origin, bool, error)
+}
+
 // CrashTracker remembers requests that crash endpoints, by their digest.
 type CrashTracker interface {
 	// RecordCrash notes that an endpoint crashed while it ran a request; attemptHash is a
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,13 +32,18 @@
 // serveStream serves a request whose response is a stream of events: it admits the turn,
 // passes the stream on and records the turn.
 func (c *call) serveStream(ctx context.Context, w Responder) {
+	version, err := c.resumedVersion(ctx)
+	if err != nil {
+		c.refuseFailed(ctx, w, err, nil)
+		return
+	}
 	admission, err := c.beginTurn(ctx)
 	if err != nil {
 		c.refuseTurn(ctx, w, err)
 		return
 	}
 	c.holder = admission.Endpoint()
-	s := &streaming{call: c, admission: admission, responder: w, lastEventID: c.request.LastEventID}
+	s := &streaming{call: c, admission: admission, responder: w, lastEventID: c.request.LastEventID, version: version}
 	complete := s.run(ctx)
 	c.endTurn(s, complete)
 }
@@ -50,6 +55,12 @@
 	responder Responder
 	// lastEventID is the identifier of the last event that the caller has received.
 	lastEventID string
+	// version is the software version that began the stream, or empty while any may.
+	version string
+	// originSequence numbers the origins that were recorded for the stream.
+	originSequence uint32
+	// originRecorded is closed when the latest one has been recorded, or nil if none is.
+	originRecorded chan struct{}
 	// headSent is set once the caller has received the head of the stream.
 	headSent bool
 	// output is the data of all events sent, each followed by a newline.
@@ -134,6 +145,7 @@
 // It returns nil after the last event of a complete stream.
 func (s *streaming) attempt(ctx context.Context) error {
 	s.attempts++
+	s.recordOrigin(ctx)
 	response, err := s.Transport.Send(ctx, s.target, EndpointRequest{
 		Request: s.request, Context: s.admission.Text(), Deadline: s.deadline, Priority: s.enginePriority(), LastEventID: s.lastEventID,
 	})
@@ -216,6 +228,7 @@
 		s.refuse(s.call, s.responder, Refusal{Status: http.StatusBadGateway, Reason: "turn could not be recorded: " + err.Error()})
 		return errResponded
 	}
+	s.pinVersion(ctx)
 	s.firstEventTime = time.Since(s.request.ReceivedAt)
 	s.headSent = true
 	if err := s.responder.StartStream(response.Status(), response.Header()); err != nil {
@@ -251,7 +264,7 @@
 func (s *streaming) streamQuery() endpoint.Query {
 	return endpoint.Query{
 		Service: s.service, Kind: s.route.Name(), Once: s.route.RetryPolicy() == route.AtMostOnce, MaxQueued: maxQueuedEngine, LocalDomain: s.Domain, ExcludedIDs: s.excludedIDs,
-		PreferredID: s.holder, PreferredSaving: s.cacheSaving(),
+		PreferredID: s.holder, PreferredSaving: s.cacheSaving(), Version: s.version,
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RetryPolicy determines whether a request may run again after a failure.
 type RetryPolicy uint8
@@ -105,6 +108,11 @@
 // TurnRetention returns how long a turn is kept.
 func (r *Route) TurnRetention() time.Duration { return r.config.TurnRetention }
 
+// Uses reports whether some requests of the route go to a service.
+func (r *Route) Uses(service string) bool {
+	return slices.ContainsFunc(r.config.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService returns the service for a request according to the weights of the splits.
 // draw is a random number, uniform in [0,1).
 func (r *Route) PickService(draw float64) string {
