Load no shard for requests that end while the front starts

Cause, first of three: a request that waits for the start of its front took, at its end, this front for the home of its program and began to load the shard; so did the settlement that follows each refusal, which is tried again for good.

Fix: a request that ends before its home is known is refused, and a settlement of a front that has not started is given up: nobody has admitted the attempt.

Evidence: TestRequestsThatEndDuringAStartLoadNoShard failed before (the end was recorded).

--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/turn"
 	"github.com/lavendervale/lavendervale/turn/turntest"
 )
@@ -18,30 +17,27 @@
 // the callers have.
 const loadTime = replyTimeout + 400*time.Millisecond
 
+// newStartingFront returns a front that is starting and knows no other one.
+func newStartingFront(t *testing.T, name string, writerID uint64, log *turntest.Log) *Mesh {
+	m := newTestMesh(t, name)
+	m.SetHandlers(turn.New(turn.Config{
+		WriterID: writerID, ShardCount: 4, Log: log, Replicator: m, FindElsewhere: m.Find, Logger: zap.NewNop(), IsHome: m.IsHome,
+		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, MaxStaleness: turn.DefaultMaxStaleness,
+		ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter,
+	}), nil)
+	return m
+}
+
 // newFrontAndHome returns a front that is starting and one that has started and is the home
 // of all shards, with the log that the home reads.
 func newFrontAndHome(t *testing.T) (front, home *Mesh, log *turntest.Log) {
 	log = turntest.NewLog()
 	log.SetReadDelay(loadTime)
-	var fronts []*Mesh
-	for i, name := range []string{"front", "home"} {
-		m, err := New(Config{
-			Name: name, Domain: name, Incarnation: 1, Weight: 1, Address: "127.0.0.1:0", Shards: 4, Directory: endpoint.NewDirectory(),
-			StoreUnreachableFor: func() time.Duration { return 0 }, Logger: zap.NewNop(),
-		})
-		require.NoError(t, err)
-		m.SetHandlers(turn.New(turn.Config{
-			WriterID: uint64(i + 1), ShardCount: 4, Log: log, Replicator: m, FindElsewhere: m.Find, Logger: zap.NewNop(), IsHome: m.IsHome,
-			Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, MaxStaleness: turn.DefaultMaxStaleness,
-			ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter,
-		}), nil)
-		fronts = append(fronts, m)
-	}
-	front, home = fronts[0], fronts[1]
+	front, home = newStartingFront(t, "front", 1, log), newStartingFront(t, "home", 2, log)
 	front.AddFront("home", home.Address())
 	home.AddFront("front", front.Address())
 	home.MarkStarted()
-	for _, m := range fronts {
+	for _, m := range []*Mesh{front, home} {
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -102,3 +98,18 @@
 		})
 	}
 }
+
+// TestRequestsThatEndDuringAStartLoadNoShard guards against fronts that load every shard because
+// requests, for none of which there is a home, end while they start.
+func TestRequestsThatEndDuringAStartLoadNoShard(t *testing.T) {
+	log := turntest.NewLog()
+	front := newStartingFront(t, "front", 1, log)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := front.Begin(ctx, turn.BeginRequest{Program: "p", Attempt: "a", BudgetTokens: 100, MaxTokens: 100})
+	require.Equal(t, turn.KindUnavailable, turn.KindOf(err))
+	require.Error(t, front.End(ctx, turn.EndRequest{Program: "p", Attempt: "a"}))
+	time.Sleep(100 * time.Millisecond)
+	require.Zero(t, log.Reads())
+	require.Zero(t, front.shardSet.Status().PendingRecords)
+}
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -31,6 +31,9 @@
 func (m *Mesh) Begin(ctx context.Context, r turn.BeginRequest) (turn.Admission, error) {
 	for range maxHomeAttempts {
 		home := m.homeOfProgram(ctx, r.Program)
+		if ctx.Err() != nil {
+			return nil, turn.Errorf("begin turn", turn.KindUnavailable, "the request ended before the home of the program was known: %w", ctx.Err())
+		}
 		if home.name == m.config.Name {
 			break
 		}
@@ -160,6 +163,9 @@
 	}
 	for {
 		home := m.homeOfProgram(ctx, r.Program)
+		if ctx.Err() != nil && m.starting.Load() {
+			return turn.Errorf("end turn", turn.KindUnavailable, "this front did not start in time: %w", ctx.Err())
+		}
 		var err error
 		if home.name == m.config.Name {
 			err = m.shardSet.End(ctx, r)
