Share the shards among fronts that all start

After the loss of all fronts each took itself for the home of every shard, since it saw no other, and then the first that had started was the home of all.

Fix: while more than half of the fronts are starting, they can be homes, so that the shards lie from the beginning where they will stay. A single front that starts still leaves its shards where they are until it has loaded them.

Evidence: TestFrontsThatAllStartShareTheShards failed before in the cases with none and with one of six started.

--- a/adapter/mesh/mesh_test.go
+++ b/adapter/mesh/mesh_test.go
@@ -147,3 +147,48 @@
 	require.Equal(t, [][]byte{[]byte("b")}, replicas.forShard(3))
 	require.False(t, replicas.add("front-1", 4, [][]byte{make([]byte, maxReplicaBytes)}, noon), "replicas are bounded by maxReplicaBytes")
 }
+
+// TestFrontsThatAllStartShareTheShards guards against a loss of all fronts after which each of
+// them takes itself for the home of every shard, and then the first that has started.
+func TestFrontsThatAllStartShareTheShards(t *testing.T) {
+	const count = 6
+	for _, test := range []struct {
+		name    string
+		started int
+		// homes is the number of fronts that are homes.
+		homes int
+	}{
+		{name: "none has started", started: 0, homes: count},
+		{name: "one has started", started: 1, homes: count},
+		{name: "half have started", started: count / 2, homes: count / 2},
+		{name: "one is starting", started: count - 1, homes: count - 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var fronts []*Mesh
+			for i := range count {
+				m := newTestMesh(t, fmt.Sprint("front-", i))
+				m.config.Shards = 60
+				if i < test.started {
+					m.MarkStarted()
+				}
+				fronts = append(fronts, m)
+			}
+			for _, to := range fronts {
+				for _, from := range fronts {
+					if to != from {
+						to.peers.applyGossip(from.newGossip(time.Now()), from.Address(), time.Now().Add(time.Hour))
+					}
+				}
+			}
+			homes := map[string]bool{}
+			for shard := range 60 {
+				home := fronts[0].homeOfShard(shard).name
+				homes[home] = true
+				for _, front := range fronts {
+					require.Equal(t, home, front.homeOfShard(shard).name)
+				}
+			}
+			require.Len(t, homes, test.homes)
+		})
+	}
+}
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -255,6 +255,27 @@
 	return p.alive(now) && !p.leaving && (!p.starting || includeStarting)
 }
 
+// mostAreStarting reports whether more than half of the fronts that are alive and not leaving
+// are starting. selfStarting tells whether this front is.
+func (t *peerTable) mostAreStarting(now time.Time, selfStarting bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	starting, staying := 0, 1
+	if selfStarting {
+		starting++
+	}
+	for _, p := range t.peers {
+		if !p.canBeHome(now, true) {
+			continue
+		}
+		staying++
+		if p.starting {
+			starting++
+		}
+	}
+	return 2*starting > staying
+}
+
 // maxWeight returns the greatest weight among the fronts that can be homes; t.mu must be held.
 func (t *peerTable) maxWeight(now time.Time, includeSelf, includeStarting bool) float64 {
 	greatest := 0.0
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -88,9 +88,13 @@
 	return m.homeOfShard(shard)
 }
 
-// homeOfShard returns the front that is the home of a shard.
+// homeOfShard returns the front that is the home of a shard. Fronts that are starting can be
+// homes while most are, as after the loss of all: otherwise each would take itself for the home
+// of every shard, and then the first that has started.
 func (m *Mesh) homeOfShard(shard int) target {
-	return m.peers.home(shard, time.Now(), !m.leaving.Load() && !m.starting.Load(), false)
+	now, starting := time.Now(), m.starting.Load()
+	includeStarting := m.peers.mostAreStarting(now, starting)
+	return m.peers.home(shard, now, !m.leaving.Load() && (includeStarting || !starting), includeStarting)
 }
 
 // remoteAdmission is an attempt that another front admitted and whose record may not be
