Load the shards of a front before it knows the endpoints

Fix: the start loads the shards first and tells the others; the front is ready once it knows routes and endpoints too.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -81,9 +81,10 @@
 	listeners      listeners
 	ingress        *platform.Ingress
 	registry       *prometheus.Registry
-	// shardsLoaded is set once the front has loaded its own shards; guarded by mu.
-	shardsLoaded bool
-	mu           sync.Mutex
+	// started is set once the front has loaded its own shards and knows the routes and the
+	// endpoints; guarded by mu.
+	started bool
+	mu      sync.Mutex
 	// leaving is set once the front was asked to stop; guarded by mu.
 	leaving     bool
 	incarnation uint64
@@ -168,7 +169,7 @@
 	wg.Go(func() { f.endpointClient.Run(workCtx) })
 	wg.Go(func() { f.shardSet.Run(workCtx) })
 	wg.Go(func() { f.register(workCtx) })
-	wg.Go(func() { f.loadOwnShards(workCtx) })
+	wg.Go(func() { f.start(workCtx) })
 	wg.Go(func() { serveErrs <- f.ingress.Serve() })
 	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), serveErrs)}
 	if metricsListener := f.listeners.metrics; metricsListener != nil {
--- a/daemon/front_lifecycle.go
+++ b/daemon/front_lifecycle.go
@@ -43,10 +43,10 @@
 	}
 }
 
-// loadOwnShards waits until the front knows the other fronts, the routes and the
-// endpoints, and loads the shards of which it will be the home. After that the front is
-// ready, also when a shard could not be loaded.
-func (f *Front) loadOwnShards(ctx context.Context) {
+// start waits until the front knows the other fronts and loads the shards of which it will be
+// the home, also when one can't be loaded. The front is ready once it knows the routes and the
+// endpoints too, whose source may be away for longer than the shards.
+func (f *Front) start(ctx context.Context) {
 	started := time.Now()
 	select {
 	case <-ctx.Done():
@@ -56,29 +56,33 @@
 		f.config.Logger.Warn("front starts without the list of other fronts", zap.Duration("waited", peerListTimeout))
 	}
 	waitForPeers(ctx, f.mesh.AliveCount, f.mesh.KnownCount)
+	f.loadOwnShards(ctx)
+	f.mesh.MarkStarted()
 	for f.routes.Table() == nil || f.directory.Len() == 0 {
-		select {
-		case <-ctx.Done():
+		if timer.Sleep(ctx, pollInterval) != nil {
 			return
-		case <-time.After(pollInterval):
 		}
 	}
-	loadCtx, cancel := context.WithTimeout(ctx, shardLoadTimeout)
+	f.mu.Lock()
+	f.started = true
+	f.mu.Unlock()
+	f.config.Logger.Info("front is ready", zap.Duration("took", time.Since(started)), zap.Int("endpoints", f.directory.Len()), zap.Int("fronts", f.mesh.AliveCount()))
+}
+
+// loadOwnShards loads the shards of which the front will be the home, within
+// shardLoadTimeout.
+func (f *Front) loadOwnShards(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shardLoadTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, shard := range f.mesh.OwnShards() {
 		wg.Go(func() {
-			if err := f.shardSet.Load(loadCtx, shard); err != nil {
+			if err := f.shardSet.Load(ctx, shard); err != nil {
 				f.config.Logger.Warn("loading a shard of this front failed", zap.Int("shard", shard), zap.Error(err))
 			}
 		})
 	}
 	wg.Wait()
-	f.mesh.MarkStarted()
-	f.mu.Lock()
-	f.shardsLoaded = true
-	f.mu.Unlock()
-	f.config.Logger.Info("front is ready", zap.Duration("took", time.Since(started)), zap.Int("endpoints", f.directory.Len()), zap.Int("fronts", f.mesh.AliveCount()))
 }
 
 // waitForPeers waits at least minPeerWait, and then until half of the known fronts are
@@ -95,7 +99,7 @@
 func (f *Front) ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.shardsLoaded || f.leaving {
+	if !f.started || f.leaving {
 		return false
 	}
 	return f.store.UnavailableFor() < isolatedAfter || f.mesh.AliveCount() > 0
--- a/daemon/front_site_test.go
+++ b/daemon/front_site_test.go
@@ -40,6 +40,8 @@
 	maxAttempts int
 	// frontCount is the number of fronts started.
 	frontCount int
+	// logger receives the lines of all fronts; nil discards them.
+	logger *zap.Logger
 }
 
 func newPlatformSite(t *testing.T) *platformSite {
@@ -108,35 +110,48 @@
 // testFront is a running front.
 type testFront struct {
 	callerAddress string
+	readyAddress  string
 	stop          context.CancelFunc
 	done          chan error
 }
 
 // startFront starts a front and waits until it is ready.
 func (s *platformSite) startFront() *testFront {
+	f := s.launchFront()
+	f.waitUntilReady(s.t)
+	return f
+}
+
+// launchFront starts a front.
+func (s *platformSite) launchFront() *testFront {
 	s.frontCount++
 	c := daemon.FrontConfig{
 		Name: fmt.Sprintf("front-%d", s.frontCount), Domain: "a", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		StoreAddress: s.storeAddress, Shards: 4, Processors: 1, GracePeriod: 4 * time.Second, Logger: zap.NewNop(),
+		StoreAddress: s.storeAddress, Shards: 4, Processors: 1, GracePeriod: 4 * time.Second, Logger: s.logger,
 	}
 	f, err := daemon.NewFront(c)
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	running := &testFront{callerAddress: f.CallerAddress(), stop: cancel, done: make(chan error, 1)}
+	running := &testFront{callerAddress: f.CallerAddress(), readyAddress: f.ReadyAddress(), stop: cancel, done: make(chan error, 1)}
 	go func() { running.done <- f.Run(ctx) }()
 	s.t.Cleanup(func() {
 		cancel()
 		<-running.done
 	})
-	require.Eventually(s.t, func() bool {
-		resp, err := http.Get("http://" + f.ReadyAddress() + "/api/ready")
+	return running
+}
+
+// waitUntilReady waits until the front reports that it is ready.
+func (f *testFront) waitUntilReady(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		resp, err := http.Get("http://" + f.readyAddress + "/api/ready")
 		if err != nil {
 			return false
 		}
 		defer resp.Body.Close()
 		return resp.StatusCode == http.StatusOK
 	}, eventuallyTimeout, 20*time.Millisecond)
-	return running
 }
 
 // send sends a request and returns the status, header and whole body of the response;
