Keep customers apart by their keys and within their quotas

Change: keys in the route table, 401 for unknown ones, the customer's name to the endpoint in place of the key, its rank, and its name in front of programs and turns. Quotas in sliding spans, counted by one front for each customer.

--- a/adapter/inifile/front.go
+++ b/adapter/inifile/front.go
@@ -18,6 +18,7 @@
 	config.Name = processSection.requiredText("name", "a name that is unique among the instances")
 	config.Domain = processSection.requiredText("domain", "the failure domain of the process")
 	config.GracePeriod = processSection.duration("grace", daemon.DefaultGracePeriod)
+	config.QuotaSpan = processSection.duration("quota_span", daemon.DefaultQuotaSpan)
 	config.MemoryMB = processSection.integer("memory", 0, 32, math.MaxInt32)
 	config.Processors = processSection.positiveNumber("processors", 1)
 	processSection.checkKeys()
--- a/adapter/mesh/permits.go
+++ b/adapter/mesh/permits.go
@@ -28,20 +28,27 @@
 	if issuer.name == m.config.Name {
 		return m.permits.Take(e, share*t.Limit().PerSecond, time.Now()), nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	reply, err := m.roundTrip(callCtx, issuer, &meshpb.Request{Body: &meshpb.Request_TakePermit{TakePermit: &meshpb.TakePermit{
+	reply, err := m.callIssuer(ctx, issuer, &meshpb.Request{Body: &meshpb.Request_TakePermit{TakePermit: &meshpb.TakePermit{
 		Endpoint: e.Key, StartedUnixMs: e.StartedUnixMS, PerSecond: t.Limit().PerSecond,
-	}}}, permitTimeout)
+	}}})
 	if err != nil {
-		if ctx.Err() == nil && callCtx.Err() != nil {
-			go m.probe(issuer)
-		}
 		return 0, err
 	}
 	return max(0, time.Duration(reply.GetPermit().GetWaitUs())*time.Microsecond), nil
 }
 
+// callIssuer asks another front for a permit. It probes a front that does not reply within
+// permitTimeout, without the request waiting for that.
+func (m *Mesh) callIssuer(ctx context.Context, issuer target, r *meshpb.Request) (*meshpb.Reply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	reply, err := m.roundTrip(callCtx, issuer, r, handleTimeout)
+	if err != nil && ctx.Err() == nil && callCtx.Err() != nil {
+		go m.probe(issuer)
+	}
+	return reply, err
+}
+
 // handleTakePermit replies with a permit, or a Fault when this front is not the issuer.
 func (h requestHandler) handleTakePermit(r *meshpb.TakePermit) error {
 	m, now := h.mesh, time.Now()
@@ -50,10 +57,15 @@
 		return h.replyFault(turn.Errorf("issue permit", turn.KindUnavailable, "front %s issues the permits of the endpoint", issuer.name))
 	}
 	wait := m.permits.Take(permit.Endpoint{Key: r.GetEndpoint(), StartedUnixMS: r.GetStartedUnixMs()}, share*r.GetPerSecond(), now)
+	return h.replyPermit(wait)
+}
+
+// replyPermit replies a permit, which is granted if wait is 0.
+func (h requestHandler) replyPermit(wait time.Duration) error {
 	return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Permit{Permit: &meshpb.Permit{WaitUs: int64((wait + time.Microsecond - 1) / time.Microsecond)}}})
 }
 
-// issuer returns the front that issues the permits of an endpoint, by rendezvous hashing over
+// issuer returns the front that issues the permits of an endpoint or a customer, by rendezvous hashing over
 // the fronts alive, and the part of the rate that it may issue. That is the part of the fronts
 // seen within permitMemory that are alive: the others may be cut off, with an issuer of their
 // own.
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -112,6 +112,8 @@
 		return h.handleCopies(ctx, r.GetFrom(), r.GetCopies())
 	case r.GetTakePermit() != nil:
 		return h.handleTakePermit(r.GetTakePermit())
+	case r.GetTakeQuota() != nil:
+		return h.handleTakeQuota(r.GetTakeQuota())
 	case r.GetKeepOrigin() != nil:
 		m.origins.Put(originFromProto(r.GetKeepOrigin().GetOrigin()), time.Now())
 		return h.replyDone(nil)
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -50,6 +50,9 @@
 	Processors float64
 	// GracePeriod is the time from a request to stop to the end of the process.
 	GracePeriod time.Duration
+	// QuotaSpan is the length of the spans in which quotas of customers hold; 0 is
+	// DefaultQuotaSpan.
+	QuotaSpan time.Duration
 	// Logger receives what the process reports; nil discards it.
 	Logger *zap.Logger
 }
@@ -96,6 +99,9 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
+	if c.QuotaSpan == 0 {
+		c.QuotaSpan = DefaultQuotaSpan
+	}
 	c.Logger = c.Logger.With(zap.String("instance", c.Name))
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(c.MemoryMB) * (1 << 20)))
@@ -139,7 +145,7 @@
 	f.storeWatch = platform.NewWatcher(platform.WatcherConfig{Store: f.store, Routes: f.routes, Directory: f.directory, AddPeer: f.mesh.AddFront, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient,
-		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
+		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Logger: c.Logger})
 }
@@ -197,6 +203,8 @@
 const (
 	// DefaultGracePeriod is the default of FrontConfig.GracePeriod in settings.
 	DefaultGracePeriod = 8 * time.Second
+	// DefaultQuotaSpan is the default of FrontConfig.QuotaSpan.
+	DefaultQuotaSpan = 5 * time.Second
 	// DefaultShards is the default of FrontConfig.Shards in settings.
 	DefaultShards = 12
 )
--- a/daemon/front_site_test.go
+++ b/daemon/front_site_test.go
@@ -36,6 +36,8 @@
 	shops        []*worker.Worker
 	// version is that of the last published configuration.
 	version int64
+	// customers is the list of customers in the configuration; without it, callers need no key.
+	customers []map[string]any
 	// maxAttempts is that of the resumable route.
 	maxAttempts int
 	// frontCount is the number of fronts started.
@@ -68,11 +70,16 @@
 	for _, prefix := range extraPrefixes {
 		routes = append(routes, map[string]any{"name": prefix, "hostname": chatHost, "path_prefix": prefix, "kind": "safe", "service": "shop"})
 	}
-	text, err := json.Marshal(map[string]any{
+	configuration := map[string]any{
 		"version": s.version, "routes": routes,
 		"services": []map[string]any{{"name": "llm", "max_conns": 50, "engine": map[string]any{"slots": 4, "chunk_tokens": 13}}, {"name": "shop", "max_conns": 50}},
 		"limits":   map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}
+	if s.customers != nil {
+		configuration["tenants"] = s.customers
+		routes[2]["anonymous"] = true
+	}
+	text, err := json.Marshal(configuration)
 	require.NoError(s.t, err)
 	s.store.Put("keyed.op", "config", text)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,10 @@
 	CrashTracker CrashTracker
 	// Permits issues permits for endpoints that name a rate limit.
 	Permits PermitIssuer
+	// Quotas keeps customers within their quotas, which hold in every span of the length
+	// QuotaSpan.
+	Quotas    QuotaTracker
+	QuotaSpan time.Duration
 	// Metrics counts and times requests.
 	Metrics *Metrics
 	// Logger receives one line per request, and one per failure of an endpoint.
@@ -101,6 +105,8 @@
 	route *route.Route
 	// table is the route table that the request was matched against, or nil.
 	table *route.Table
+	// customer is the customer of the caller, the zero value if callers need no key.
+	customer route.Customer
 	// service is the name of the service that the route chose for this request.
 	service  string
 	deadline time.Time
@@ -121,6 +127,8 @@
 	queueTime time.Duration
 	// firstEventTime is the time from the request's arrival to its first event.
 	firstEventTime time.Duration
+	// quotaTaken is set if the request counts towards the quota of its customer.
+	quotaTaken bool
 	// turnBegun is set if TurnTracker.Begin succeeded, so that End has to follow.
 	turnBegun bool
 	// eventCount is the number of events passed to the caller, without empty ones.
@@ -140,9 +148,14 @@
 		g.refuse(&call{Gateway: g, request: r, table: table}, w, Refusal{Status: http.StatusNotFound, Reason: "no route for the host and path"})
 		return
 	}
+	customer, ok := table.Customer(matched, r.Key)
+	if !ok {
+		g.refuse(&call{Gateway: g, request: r, route: matched, table: table}, w, Refusal{Status: http.StatusUnauthorized, Reason: "the key is of no customer"})
+		return
+	}
 	c := &call{
-		Gateway: g, request: r, route: matched, table: table, service: matched.PickService(rand.Float64()),
-		deadline: deadline(r, matched), digest: digest(r),
+		Gateway: g, request: r, route: matched, table: table, customer: customer, service: matched.PickService(rand.Float64()),
+		deadline: deadline(r, matched), digest: digest(r, customer),
 	}
 	if g.CrashTracker.Banned(c.digest) {
 		g.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, Reason: "the request has crashed several endpoints"})
@@ -154,6 +167,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	if c.refuseOverQuota(ctx, w) {
+		return
+	}
 	if matched.Streaming() {
 		c.serveStream(ctx, w)
 		return
@@ -178,11 +194,11 @@
 
 // digest returns a hash of the content of a request that is equal for all attempts of a
 // caller. Requests without a body are distinguished by their program and session.
-func digest(r *Request) uint64 {
+func digest(r *Request, customer route.Customer) uint64 {
 	h := xxhash.New()
-	scope := ""
+	scope := customer.Name
 	if len(r.Body) == 0 {
-		scope = r.Program + "/" + r.Session
+		scope += r.Program + "/" + r.Session
 	}
 	for _, part := range []string{r.Method, r.Host, r.Target, scope} {
 		_, _ = h.WriteString(part)
@@ -196,6 +212,7 @@
 func (g *Gateway) refuse(c *call, w Responder, r Refusal) {
 	w.Refuse(r)
 	g.Metrics.observeRefused(c, r)
+	c.giveBackQuota()
 	c.logRequest("refused", r.Status, r.Reason)
 }
 
@@ -216,6 +233,14 @@
 	}
 }
 
+// rank returns the rank of the request: that of its customer, or else of its route.
+func (c *call) rank() int {
+	if c.customer.Rank != nil {
+		return *c.customer.Rank
+	}
+	return c.route.Rank()
+}
+
 // queuePriority returns the priority of the request in the queue: its rank, then the
 // deadline of its program or, if that is unknown, the end of the route's latency target.
 func (c *call) queuePriority() dispatch.Priority {
@@ -224,7 +249,7 @@
 		dueAt = c.request.ReceivedAt.Add(c.route.LatencyTarget())
 	}
 	maxWait := time.Duration(maxWaitRatio * float64(c.deadline.Sub(c.request.ReceivedAt)))
-	return dispatch.Priority{Rank: c.route.Rank(), DueAt: dueAt, GiveUpAt: c.request.ReceivedAt.Add(maxWait)}
+	return dispatch.Priority{Rank: c.rank(), DueAt: dueAt, GiveUpAt: c.request.ReceivedAt.Add(maxWait)}
 }
 
 // excludeTarget excludes the current target from further attempts of the request.
@@ -287,6 +312,9 @@
 	if r.Program != "" {
 		fields = append(fields, zap.String("program", r.Program))
 	}
+	if c.customer.Name != "" {
+		fields = append(fields, zap.String("customer", c.customer.Name))
+	}
 	if r.PreviousTurn != "" {
 		fields = append(fields, zap.String("previous", r.PreviousTurn))
 	}
@@ -294,7 +322,7 @@
 		fields = append(fields, zap.Int64("routes", c.table.Version()))
 	}
 	if c.route != nil {
-		fields = append(fields, zap.String("route", c.route.Name()), zap.Int("rank", c.route.Rank()),
+		fields = append(fields, zap.String("route", c.route.Name()), zap.Int("rank", c.rank()),
 			zap.Duration("left", time.Until(c.deadline)), zap.Int("attempts", c.attempts), zap.Duration("queued", c.queueTime))
 	}
 	if !c.target.Zero() {
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -22,6 +22,8 @@
 	// Priority orders requests inside an engine, lowest first; negative values are not
 	// sent.
 	Priority int
+	// Customer is the name of the caller's customer, or empty.
+	Customer string
 	// LastEventID is the identifier of the last event that the caller has received, after
 	// which a stream is resumed, or empty.
 	LastEventID string
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -56,7 +56,7 @@
 func (m *Metrics) observe(c *call, outcome string, status int) {
 	rank := ""
 	if c.route != nil {
-		rank = strconv.Itoa(c.route.Rank())
+		rank = strconv.Itoa(c.rank())
 		m.queueTime.WithLabelValues(rank).Observe(c.queueTime.Seconds())
 	}
 	m.requests.WithLabelValues(outcome, strconv.Itoa(status), rank).Inc()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -72,7 +72,7 @@
 // roundTrip sends the request to an endpoint and reads the whole response.
 func (c *call) roundTrip(ctx context.Context, t endpoint.Target) (fullResponse, error) {
 	response, err := c.Transport.Send(ctx, t, EndpointRequest{
-		Request: c.request, Deadline: c.deadline, Priority: noPriority, FreshConnection: c.route.RetryPolicy() == route.AtMostOnce,
+		Request: c.request, Deadline: c.deadline, Priority: noPriority, Customer: c.customer.Name, FreshConnection: c.route.RetryPolicy() == route.AtMostOnce,
 	})
 	if err != nil {
 		return fullResponse{}, err
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -27,6 +27,8 @@
 	ReceivedAt time.Time
 	// Deadline is when the caller stops waiting, or zero if it gave none.
 	Deadline time.Time
+	// Key is the secret by which the caller's customer is known, or empty.
+	Key string
 	// Program identifies the program that the request belongs to, or is empty.
 	Program string
 	// Session identifies a conversation within the program, or is empty.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -147,7 +147,7 @@
 	s.attempts++
 	s.recordOrigin(ctx)
 	response, err := s.Transport.Send(ctx, s.target, EndpointRequest{
-		Request: s.request, Context: s.admission.Text(), Deadline: s.deadline, Priority: s.enginePriority(), LastEventID: s.lastEventID,
+		Request: s.request, Context: s.admission.Text(), Deadline: s.deadline, Priority: s.enginePriority(), LastEventID: s.lastEventID, Customer: s.customer.Name,
 	})
 	if err != nil {
 		if notRun(err) {
@@ -277,5 +277,5 @@
 // enginePriority returns the request's priority inside an engine, from 1 for rank 0 up to
 // lowestPriority.
 func (s *streaming) enginePriority() int {
-	return min(lowestPriority, 1+priorityStep*s.route.Rank())
+	return min(lowestPriority, 1+priorityStep*s.rank())
 }
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -31,7 +31,7 @@
 	limit := time.AfterFunc(time.Until(c.deadline)-refusalReserve, cancel)
 	defer limit.Stop()
 	admission, err := c.TurnTracker.Begin(ctx, turn.BeginRequest{
-		Program: c.turnProgram(), Session: r.Session, Attempt: r.ID, Previous: c.previousTurn(), BudgetTokens: r.BudgetTokens, MaxTokens: r.MaxTokens,
+		Program: c.turnProgram(), Session: r.Session, Attempt: c.scoped(r.ID), Previous: c.previousTurn(), BudgetTokens: r.BudgetTokens, MaxTokens: r.MaxTokens,
 	})
 	c.turnBegun = err == nil
 	if err != nil && turn.KindOf(err) != turn.KindBudget && turn.KindOf(err) != turn.KindNotFound {
@@ -45,7 +45,7 @@
 func (c *call) releaseAttempt() {
 	ctx, cancel := context.WithTimeout(context.Background(), endTurnTimeout)
 	defer cancel()
-	if err := c.TurnTracker.End(ctx, turn.EndRequest{Program: c.turnProgram(), Attempt: c.request.ID}); err != nil {
+	if err := c.TurnTracker.End(ctx, turn.EndRequest{Program: c.turnProgram(), Attempt: c.scoped(c.request.ID)}); err != nil {
 		c.Logger.Warn("releasing an attempt failed", zap.String("request", c.request.ID), zap.Error(err))
 	}
 }
@@ -59,18 +59,26 @@
 // previousTurn returns the turn to continue, on routes that keep conversations.
 func (c *call) previousTurn() string {
 	if c.route.Stateful() {
-		return c.request.PreviousTurn
+		return c.scoped(c.request.PreviousTurn)
 	}
 	return ""
 }
 
+// scoped returns an identifier that a caller chose, apart from those of other customers.
+func (c *call) scoped(id string) string {
+	if id == "" || c.customer.Name == "" {
+		return id
+	}
+	return c.customer.Name + "/" + id
+}
+
 // turnProgram returns the program that the turn is recorded under; a request without one
 // is a program of its own.
 func (c *call) turnProgram() string {
 	if c.request.Program != "" {
-		return c.request.Program
+		return c.scoped(c.request.Program)
 	}
-	return c.request.ID
+	return c.scoped(c.request.ID)
 }
 
 // refuseTurn refuses a turn that was not admitted because of err.
@@ -101,7 +109,7 @@
 		return
 	}
 	r := turn.EndRequest{
-		Program: c.turnProgram(), Session: c.request.Session, Attempt: c.request.ID, DeliveredTokens: s.outputTokens, Endpoint: c.target.ID(),
+		Program: c.turnProgram(), Session: c.request.Session, Attempt: c.scoped(c.request.ID), DeliveredTokens: s.outputTokens, Endpoint: c.target.ID(),
 	}
 	if complete && c.route.Stateful() {
 		r.Completed = &turn.CompletedTurn{Previous: c.previousTurn(), Text: s.turnText(), RetentionMS: c.route.TurnRetention().Milliseconds()}
--- a/permit/doc.go
+++ b/permit/doc.go
@@ -1,3 +1,3 @@
-// Package permit keeps the requests of all fronts to an endpoint within the rate that the
-// endpoint takes. One front issues the permits of an endpoint; each request needs one.
+// Package permit keeps the requests of all fronts within a rate that an endpoint takes, or within
+// the quota of a customer. One front issues the permits of each; a request needs one.
 package permit
--- a/route/route.go
+++ b/route/route.go
@@ -39,6 +39,8 @@
 	EventGapTarget time.Duration
 	// Rank orders the waiting requests of a service; 0 is served first.
 	Rank int
+	// Anonymous is set if callers need no key.
+	Anonymous bool
 	// Splits lists the services that serve the route and their shares of its requests.
 	Splits []Split
 	// MaxAttempts limits the endpoints that run one attempt of a caller. Values below 1
--- a/route/table.go
+++ b/route/table.go
@@ -17,6 +17,24 @@
 	Services []Service
 	// Limits restricts the requests of callers.
 	Limits Limits
+	// Customers lists those whose callers are served; if there are none, callers need no
+	// key.
+	Customers []Customer
+}
+
+// Customer is a party whose callers identify themselves by keys.
+type Customer struct {
+	// Name identifies the customer.
+	Name string
+	// Keys are the secrets that its callers send.
+	Keys []string
+	// Rank replaces the rank of the route; nil leaves it.
+	Rank *int
+	// RatePerSecond is how many requests per second the customer may send through all
+	// instances together; 0 or less is no limit.
+	RatePerSecond float64
+	// Burst is how many requests more it may send at once.
+	Burst float64
 }
 
 // Service describes one service.
@@ -63,6 +81,9 @@
 	routesByHost   map[string][]*Route
 	servicesByName map[string]Service
 	limits         Limits
+	customersByKey map[string]Customer
+	// requiresKey is set if callers need a key.
+	requiresKey bool
 }
 
 // NewTable returns a table with the given configuration. It returns an error of
@@ -70,7 +91,13 @@
 // when a route has no service.
 func NewTable(c TableConfig) (*Table, error) {
 	const op = "check routes"
-	t := &Table{version: c.Version, routesByHost: map[string][]*Route{}, servicesByName: map[string]Service{}, limits: c.Limits}
+	t := &Table{version: c.Version, routesByHost: map[string][]*Route{}, servicesByName: map[string]Service{}, limits: c.Limits, customersByKey: map[string]Customer{}}
+	for _, customer := range c.Customers {
+		for _, key := range customer.Keys {
+			t.customersByKey[key] = customer
+		}
+	}
+	t.requiresKey = len(c.Customers) > 0
 	for _, s := range c.Services {
 		t.servicesByName[s.Name] = s
 	}
@@ -105,6 +132,16 @@
 // ServiceCount returns the number of services.
 func (t *Table) ServiceCount() int { return len(t.servicesByName) }
 
+// Customer returns the customer whose caller sends a request of a route with a key, and whether
+// the request is allowed. It is the zero value where no key is needed.
+func (t *Table) Customer(r *Route, key string) (Customer, bool) {
+	if !t.requiresKey || r.config.Anonymous {
+		return Customer{}, true
+	}
+	c, ok := t.customersByKey[key]
+	return c, ok
+}
+
 // Match returns the route of the host whose prefix is the longest that matches path, or
 // nil when none matches.
 func (t *Table) Match(host, path string) *Route {
