Take over limits that were read before this front started

What callers saw: nothing; found by reading. A front that has just started ignored the limits that others had read before it saw the endpoints, so it sent to limited endpoints without permits until one of them answered.

Cause: a report older than the registration was taken for one of an earlier incarnation, also where the start time tells incarnations apart.

Fix: the age decides only where the start time is unknown. The test of gossiped limits expected the old behaviour in one case, which was wrong; that case now stands with an unknown start time, as strict, and the known one beside it.

--- a/endpoint/limit.go
+++ b/endpoint/limit.go
@@ -101,8 +101,8 @@
 }
 
 // ApplyLimits takes over the reports of another instance that are later than what this one
-// knows, and returns the IDs of endpoints whose limit has changed. A report that is older than
-// the registration of an endpoint may be of an earlier incarnation.
+// knows, and returns the IDs of endpoints whose limit has changed. If the start time of an
+// endpoint is unknown, a report from before its registration may be of an earlier incarnation.
 func (d *Directory) ApplyLimits(reports []LimitReport, now time.Time) []string {
 	if len(reports) == 0 {
 		return nil
@@ -117,7 +117,10 @@
 	for _, e := range d.byID {
 		r, ok := byKey[e.key]
 		observedAt := now.Add(-r.Age)
-		if !ok || r.StartedUnixMS != e.registration.StartedUnixMS || observedAt.Before(e.addedAt) || !observedAt.After(e.limit.observedAt) {
+		if !ok || r.StartedUnixMS != e.registration.StartedUnixMS || !observedAt.After(e.limit.observedAt) {
+			continue
+		}
+		if r.StartedUnixMS == 0 && observedAt.Before(e.addedAt) {
 			continue
 		}
 		if e.limit.update(r.Limit, observedAt, true) {
