Split the results of endpoints from the gateway and share the checks of limits

The bound of the users' rule on limits and the count of requests in a span stood in two test packages and are in permit/permittest now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -252,53 +252,6 @@
 	return dispatch.Priority{Rank: c.rank(), DueAt: dueAt, GiveUpAt: c.request.ReceivedAt.Add(maxWait)}
 }
 
-// excludeTarget excludes the current target from further attempts of the request.
-func (c *call) excludeTarget() {
-	if c.excludedIDs == nil {
-		c.excludedIDs = map[string]bool{}
-	}
-	c.excludedIDs[c.target.ID()] = true
-}
-
-// recordFailure reports a failure of the current target to the directory, the metrics and
-// the log.
-func (c *call) recordFailure(err error) {
-	now := time.Now()
-	kind := KindOf(err)
-	c.Directory.RecordFailure(c.target, kind == KindUnreachable || kind == KindReset, now)
-	c.Metrics.failures.WithLabelValues(kindName(kind)).Inc()
-	if kind == KindReset || kind == KindBroken {
-		go c.recordCrashIfDown(c.target)
-	}
-	c.Logger.Warn("endpoint failed", zap.String("request", c.request.ID), zap.String("endpoint", c.target.ID()),
-		zap.String("address", c.target.Address()), zap.String("version", c.target.Registration().Version), zap.Int("events", c.eventCount), zap.Error(err))
-}
-
-// recordLimit reports the rate limit that an endpoint named in a response to the directory,
-// and logs it when it has changed.
-func (c *call) recordLimit(t endpoint.Target, response Response) {
-	limit, known := response.Limit()
-	if !known || !c.Directory.RecordLimit(t, limit, time.Now()) {
-		return
-	}
-	c.Logger.Info("endpoint limit changed", zap.String("endpoint", t.ID()), zap.String("request", c.request.ID),
-		zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
-}
-
-// recordCrashIfDown records a crash if an endpoint that broke off a request no longer
-// accepts connections. If it does, only the connection was lost, which says nothing against
-// the request.
-func (c *call) recordCrashIfDown(target endpoint.Target) {
-	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-	defer cancel()
-	if c.Transport.Alive(ctx, target) {
-		return
-	}
-	c.CrashTracker.RecordCrash(c.digest, xxhash.Sum64String(c.request.ID))
-	c.Logger.Warn("request may have crashed its endpoint", zap.String("request", c.request.ID), zap.Uint64("digest", c.digest),
-		zap.String("endpoint", target.ID()))
-}
-
 // logRequest writes the log line of a request; an empty reason is left out.
 func (c *call) logRequest(outcome string, status int, reason string) {
 	r := c.request
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -15,14 +15,10 @@
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/gateway"
 	"github.com/lavendervale/lavendervale/permit"
+	"github.com/lavendervale/lavendervale/permit/permittest"
 )
 
 const (
-	// limitWindow is the span in which requests at an endpoint are counted, and limitSettle
-	// how long after it named its limit the bound holds.
-	limitWindow, limitSettle = 4 * time.Second, 3 * time.Second
-	// limitSlack and limitExcess are what the bound leaves above the limit.
-	limitSlack, limitExcess = 1.5, 5
 	// limitRun is the length of a simulated run.
 	limitRun = 12 * time.Second
 	// fleetGossipInterval is the time between two exchanges of what fronts know.
@@ -158,20 +154,6 @@
 	}
 }
 
-// mostInWindow returns the greatest number of arrivals from since on in one span of limitWindow.
-func mostInWindow(arrivals []time.Time, since time.Time) int {
-	most, first := 0, 0
-	for i, at := range arrivals {
-		for arrivals[first].Before(since) && first < i || at.Sub(arrivals[first]) > limitWindow {
-			first++
-		}
-		if !at.Before(since) {
-			most = max(most, i-first+1)
-		}
-	}
-	return most
-}
-
 // TestFleetKeepsTheLimitsOfEndpoints plays more requests than the endpoints of a service take,
 // and checks what the endpoints get and how callers that can't be served are refused.
 func TestFleetKeepsTheLimitsOfEndpoints(t *testing.T) {
@@ -200,9 +182,9 @@
 					time.AfterFunc(6*time.Second, f.replaceIssuer)
 				}
 				r := f.run(t, 60, timeout)
-				allowed := int(limitSlack*test.perSecond*limitWindow.Seconds()) + limitExcess
+				allowed := permittest.Allowed(test.perSecond)
 				for id, arrivals := range f.arrivals {
-					require.LessOrEqual(t, mostInWindow(arrivals, started.Add(limitSettle)), allowed, id)
+					require.LessOrEqual(t, permittest.MostInSpan(arrivals, started.Add(permittest.Settle)), allowed, id)
 				}
 				t.Logf("%d served, %d refused, the longest after %s", r.served, r.refused, r.longestRefusal)
 				down := 0.0
@@ -246,6 +228,6 @@
 		started := time.Now()
 		r := f.run(t, 60, time.Second)
 		require.Zero(t, r.refused)
-		require.LessOrEqual(t, mostInWindow(f.arrivals["shop-1"], started.Add(limitSettle)), int(limitSlack*2*limitWindow.Seconds())+limitExcess)
+		require.LessOrEqual(t, permittest.MostInSpan(f.arrivals["shop-1"], started.Add(permittest.Settle)), permittest.Allowed(2))
 	})
 }
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -11,8 +11,9 @@
 )
 
 // resumedVersion returns the software version that began the stream that the request resumes,
-// and sends the request to the service that did. It is empty if any version may serve the request: it begins a stream, or no more than one
-// version serves. It is an error if several serve and none is known to have begun the stream.
+// and sends the request to the service that did. It is empty if any version may serve the
+// request: it begins a stream, or no more than one version serves. It is an error if several
+// serve and none is known to have begun the stream.
 func (c *call) resumedVersion(ctx context.Context) (string, error) {
 	const op = "resume stream"
 	if c.request.LastEventID == "" {
--- /dev/null
+++ b/permit/permittest/doc.go
@@ -0,0 +1,2 @@
+// Package permittest checks rate limits in tests.
+package permittest
