Learn from other fronts that a service has several versions

Fronts read of a new version up to 0.4 s apart, and one that is cut off from the store does not at all. Such a front began streams without copies of their origins, so a caller that came back through another front would have been refused.

Fix: gossip names the services of which a front itself sees several versions; others take that for five seconds, and do not pass it on.

Evidence: TestSeveralVersionsAreKnownFromOthers (new with the function); the datagram of a busy front with all lists full still fits.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -34,6 +34,8 @@
 	// maxGossipLimits bounds the rate limits in a datagram, each of which takes up to 30
 	// bytes; if there are more, each datagram has the next ones.
 	maxGossipLimits = 60
+	// maxGossipServices bounds the services with several versions in a datagram.
+	maxGossipServices = 100
 	// maxDatagramBytes is the size of the receive buffer; the rest of a longer datagram
 	// is lost.
 	maxDatagramBytes = 32 << 10
@@ -92,6 +94,8 @@
 	for _, load := range loads {
 		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: load.Endpoint, Running: uint32(load.Running)})
 	}
+	g.MixedServices = m.config.Directory.MixedServices(now)
+	g.MixedServices = g.MixedServices[:min(len(g.MixedServices), maxGossipServices)]
 	g.Limits = limitsToGossip(m.config.Directory.Limits(now), g.GetSequence())
 	return g
 }
@@ -159,6 +163,7 @@
 	}
 	m.config.Directory.UpdatePeerLoads(g.GetName(), loads, now)
 	m.applyLimits(g, now)
+	m.config.Directory.ApplyMixedServices(g.GetMixedServices()[:min(len(g.GetMixedServices()), maxGossipServices)], now)
 	for _, crash := range g.GetCrashes() {
 		m.crashes.add(crash.GetRequest(), crash.GetAttempt(), now)
 	}
--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -29,6 +29,7 @@
 			m := newTestMesh(t, "m")
 			for i := range test.endpoints {
 				service := fmt.Sprint("s-", i)
+				m.config.Directory.Put(endpoint.Registration{ID: fmt.Sprint("old-", i), Service: service, Version: "v0", State: endpoint.Draining}, time.Now())
 				m.config.Directory.Put(endpoint.Registration{ID: fmt.Sprint("i-", i), Service: service, Address: "127.0.0.1:1", State: endpoint.Ready, Slots: 8}, time.Now())
 				target, result := m.config.Directory.Pick(endpoint.Query{Service: service}, time.Now())
 				require.Equal(t, endpoint.Picked, result)
@@ -41,6 +42,7 @@
 			require.LessOrEqual(t, len(data), maxDatagramBytes)
 			require.NotEmpty(t, g.GetLoads())
 			require.NotEmpty(t, g.GetLimits())
+			require.NotEmpty(t, g.GetMixedServices())
 		})
 	}
 }
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -38,6 +38,9 @@
 	removalsFinalUntil time.Time
 	// versions holds the software versions of all endpoints.
 	versions versionTable
+	// mixedUntil is until when a service has several versions according to other instances,
+	// by the Key of its name.
+	mixedUntil map[uint64]time.Time
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 	// lastExpiryAt is when dropExpired last searched for expired endpoints.
@@ -55,8 +58,8 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, peerReports: map[string]loadReport{}, typicalTimes: map[string]time.Duration{},
-		versions: versionTable{},
-		changed:  make(chan struct{}),
+		versions: versionTable{}, mixedUntil: map[uint64]time.Time{},
+		changed: make(chan struct{}),
 	}
 }
 
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -92,7 +92,8 @@
 // Zero reports whether t is the zero value.
 func (t Target) Zero() bool { return t.registration.ID == "" }
 
-// Key returns the hash of an endpoint's ID that identifies it in load reports.
+// Key returns the hash of an endpoint's ID, or a service's name, that identifies it in reports
+// to other instances.
 func Key(id string) uint64 { return xxhash.Sum64String(id) }
 
 // load returns the number of requests at the endpoint, of this instance and all others.
--- a/endpoint/version_test.go
+++ b/endpoint/version_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// TestSeveralVersionsAreKnownFromOthers guards against fronts that record no origin of a stream,
+// because they read of a new version later than others do.
+func TestSeveralVersionsAreKnownFromOthers(t *testing.T) {
+	first, second := endpoint.NewDirectory(), endpoint.NewDirectory()
+	for _, d := range []*endpoint.Directory{first, second} {
+		d.Put(versioned("a", "v1", 1), noon)
+	}
+	require.Empty(t, first.MixedServices(noon))
+	first.Put(versioned("b", "v2", 1), noon)
+	second.ApplyMixedServices(first.MixedServices(noon), noon)
+	require.True(t, second.SeveralVersions("s", noon.Add(time.Second)))
+	require.False(t, second.SeveralVersions("other", noon.Add(time.Second)))
+	require.Empty(t, second.MixedServices(noon), "hearsay is not passed on")
+	require.False(t, second.SeveralVersions("s", noon.Add(6*time.Second)))
+}
+
 // TestOnlyEndpointsOfTheVersionArePicked checks the choice for a stream that is resumed.
 func TestOnlyEndpointsOfTheVersionArePicked(t *testing.T) {
 	d := endpoint.NewDirectory()
