--- a/adapter/mesh/fuzz_test.go
+++ b/adapter/mesh/fuzz_test.go
@@ -16,6 +16,8 @@
 	"github.com/lavendervale/lavendervale/adapter/frame"
 	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
 	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/origin"
+	"github.com/lavendervale/lavendervale/permit"
 	"github.com/lavendervale/lavendervale/turn"
 	"github.com/lavendervale/lavendervale/turn/turntest"
 )
@@ -50,10 +52,11 @@
 	m := &Mesh{
 		config: Config{Name: "self", Weight: 0.8, Shards: fuzzShards, Directory: endpoint.NewDirectory(), Logger: zap.NewNop()},
 		peers:  newPeerTable("self", 0.8), crashes: newCrashRegistry(), replicas: newReplicaStore(), store: echoStore{},
+		permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), origins: origin.NewStore(),
 	}
 	m.shardSet = turn.New(turn.Config{
 		WriterID: 1, ShardCount: fuzzShards, Log: turntest.NewLog(), Replicator: turntest.NewReplicator(), Logger: zap.NewNop(),
-		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter,
+		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter,
 		ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, MaxStaleness: turn.DefaultMaxStaleness, IsHome: func(int) bool { return true },
 		FindElsewhere: func(context.Context, string, int) ([]byte, bool, error) { return nil, false, nil },
 	})
@@ -69,6 +72,7 @@
 		{Name: "front-1", Sequence: 1, Weight: math.Inf(1), Loads: []*meshpb.EndpointLoad{{Endpoint: 7, Running: math.MaxUint32}}},
 		{Name: "front-1", Sequence: math.MaxUint64, Incarnation: math.MaxUint64, Weight: -1, Crashes: []*meshpb.Crash{{Request: 1, Attempt: 2}}},
 		{Name: "self", Sequence: 1},
+		{Name: "front-1", Sequence: 1, Weight: 1, Limits: []*meshpb.EndpointLimit{{Endpoint: 7, Named: true, PerSecond: math.Inf(1), AgeMs: math.MaxUint32}}, MixedServices: []uint64{1, 1}},
 	}
 	for _, g := range gossips {
 		data, err := proto.Marshal(g)
@@ -110,6 +114,12 @@
 		{Body: &meshpb.Request_Copies{Copies: &meshpb.Copies{Shard: 1, Records: [][]byte{record, {0xff}}}}},
 		{Body: &meshpb.Request_Copies{Copies: &meshpb.Copies{Shard: 1, Adopt: true, Records: [][]byte{record, {}}}}},
 		{Body: &meshpb.Request_Copies{Copies: &meshpb.Copies{Shard: math.MaxUint32, Settled: true, Records: [][]byte{record}}}},
+		{Body: &meshpb.Request_TakePermit{TakePermit: &meshpb.TakePermit{Endpoint: 7, StartedUnixMs: -1, PerSecond: math.NaN()}}},
+		{Body: &meshpb.Request_TakePermit{TakePermit: &meshpb.TakePermit{PerSecond: math.Inf(1)}}},
+		{Body: &meshpb.Request_TakeQuota{TakeQuota: &meshpb.TakeQuota{Customer: "c", Most: math.NaN(), SpanUs: math.MinInt64}}},
+		{Body: &meshpb.Request_TakeQuota{TakeQuota: &meshpb.TakeQuota{Customer: "c", Most: -1, SpanUs: math.MaxInt64, GiveBack: true}}},
+		{Body: &meshpb.Request_KeepOrigin{KeepOrigin: &meshpb.KeepOrigin{}}},
+		{Body: &meshpb.Request_FindOrigin{FindOrigin: &meshpb.FindOrigin{Attempt: "a"}}},
 		{Body: &meshpb.Request_Fetch{Fetch: &meshpb.Fetch{Shard: math.MaxUint32}}},
 		{},
 	}
