--- a/adapter/mesh/origins_test.go
+++ b/adapter/mesh/origins_test.go
@@ -37,6 +37,14 @@
 		stops[front]()
 		_ = fronts[front].listener.Close()
 		fronts[front].sessions.Close()
+		// The connections that it has accepted are closed in the background.
+		for i, other := range fronts {
+			if i != front {
+				require.Eventually(t, func() bool {
+					return !other.sessions.PingOrClose(fronts[front].Address(), time.Second)
+				}, 5*time.Second, time.Millisecond)
+			}
+		}
 	}
 }
 
