Admit turns of known programs under leases while the log is away

Nothing of such a turn needs the log but the budget.

Fix: the begin record that a home writes leases it half of what is left of the budget beyond one more turn. It may hand these tokens out before the log has its records. For every other process they are spent until the records of the holder say otherwise, so that the loss of all processes within an outage never makes a program exceed its budget; what is left then suffices for most. A front that is no longer the home releases its leases. Replicated records grant none.

Ruled out: more begin records on replicas (all may be lost, and programs without end come back and ask for the rest); a lease for programs that the log doesn't know yet, which a lost home would take from all new programs of its shards: each still begins one turn on replicas.

What is left of the outage are kept turns, which can't end, and programs that begin in it.

--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -187,6 +187,7 @@
 	wg.Go(m.receiveGossip)
 	wg.Go(func() { m.serve(ctx) })
 	wg.Go(func() { m.recoverOrphans(ctx) })
+	wg.Go(func() { m.watchHomes(ctx) })
 	<-ctx.Done()
 	_ = m.listener.Close()
 	time.AfterFunc(gossipInterval, func() { _ = m.datagrams.Close() })
--- a/adapter/mesh/replicas.go
+++ b/adapter/mesh/replicas.go
@@ -272,12 +272,9 @@
 }
 
 // recoverOrphans appends the records of fronts that are no longer alive to the log,
-// before their replicas expire. It runs until ctx ends and logs changes of the homes of
-// shards on the way.
+// before their replicas expire. It runs until ctx ends.
 func (m *Mesh) recoverOrphans(ctx context.Context) {
-	owned := map[int]bool{}
 	for timer.Sleep(ctx, orphanCheckInterval) == nil {
-		m.logHomeChanges(owned)
 		for shard, records := range m.replicas.orphans(m.peers.hasRecentGossip) {
 			appendCtx, cancel := context.WithTimeout(ctx, handleTimeout)
 			err := m.appendOrphans(appendCtx, shard, records)
--- a/turn/append.go
+++ b/turn/append.go
@@ -83,7 +83,7 @@
 			linger = 0
 		case op.record.GetBegin() != nil:
 			linger = beginLinger
-		case op.record.GetEnd().GetTurn() == nil:
+		case op.record.GetEnd() != nil && op.record.GetEnd().GetTurn() == nil:
 			linger = settleLinger
 		}
 		least = min(least, linger-now.Sub(op.submittedAt))
@@ -232,17 +232,18 @@
 }
 
 // refuseOverBudget refuses the pending attempts of the given programs that no longer fit
-// their budgets because another process has written to the shard. Attempts with replicated
-// begin records stay: their callers may already have continued. s.mu must be held.
+// their budgets because another process has written to the shard. Attempts with replicated or
+// leased begin records stay: their callers may already have continued. s.mu must be held.
 func (s *shard) refuseOverBudget(programs map[string]bool) {
 	if len(programs) == 0 {
 		return
 	}
 	for _, op := range append([]*writeOp(nil), s.pending...) {
-		if op.budgetTokens == 0 || op.replicated || !programs[op.program] {
+		if op.budgetTokens == 0 || op.replicated || op.leased || !programs[op.program] {
 			continue
 		}
-		if s.usedTokensWithPending(op.program, op.record.GetBegin().GetAttempt())+op.reservedTokens > op.budgetTokens {
+		used := s.usedTokensWithPending(op.program, op.record.GetBegin().GetAttempt()) + s.leases.leasedByOthers(op.program, s.set.writerID)
+		if used+op.reservedTokens > op.budgetTokens {
 			s.complete(op.appendNumber, Errorf("begin turn", KindBudget, "budget of %d tokens no longer admits the attempt", op.budgetTokens))
 		}
 	}
--- a/turn/begin.go
+++ b/turn/begin.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -26,7 +27,7 @@
 // cache, empty when none is known.
 func (a *localAdmission) Endpoint() string { return a.endpoint }
 
-// Wait blocks until the begin record is in the log or replicated. It returns an
+// Wait blocks until the begin record is in the log, replicated or covered by a lease. It returns an
 // error of KindBudget when the attempt no longer fits the budget, and of
 // KindUnavailable when ctx ends first.
 func (a *localAdmission) Wait(ctx context.Context) error {
@@ -54,25 +55,55 @@
 		}
 		admitted.conversation = text
 	}
+	err := s.admit(r, admitted)
+	if errors.Is(err, errLeased) && s.readToEnd(ctx) == nil {
+		// The holder of the lease may have released it.
+		err = s.admit(r, admitted)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return admitted, nil
+}
+
+// admit checks an attempt against the budget of its program and queues its begin record.
+func (s *shard) admit(r BeginRequest, admitted *localAdmission) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	admitted.endpoint = s.sessionEndpoint(r)
 	if r.BudgetTokens <= 0 {
-		return admitted, nil
+		return nil
 	}
 	if admitted.op = s.pendingBegin(r.Attempt); admitted.op != nil {
-		return admitted, nil
+		return nil
 	}
-	if used := s.usedTokensWithPending(r.Program, r.Attempt); used+r.MaxTokens > r.BudgetTokens {
+	used := s.usedTokensWithPending(r.Program, r.Attempt)
+	if err := s.checkBudget(r, used); err != nil {
 		delete(s.fetchedTextByAttempt, r.Attempt)
-		return nil, Errorf("begin turn", KindBudget, "budget of %d tokens can't admit %d more: %d are spent or reserved", r.BudgetTokens, r.MaxTokens, used)
+		return err
+	}
+	begin := &turnpb.Begin{Program: r.Program, Attempt: r.Attempt, Tokens: r.MaxTokens}
+	if r.Lease && s.set.config.IsHome(s.number) {
+		begin.Budget = r.BudgetTokens
 	}
 	admitted.op = &writeOp{
-		program: r.Program, reservedTokens: r.MaxTokens, budgetTokens: r.BudgetTokens,
-		record: &turnpb.Record{Body: &turnpb.Record_Begin{Begin: &turnpb.Begin{Program: r.Program, Attempt: r.Attempt, Tokens: r.MaxTokens}}},
+		program: r.Program, reservedTokens: r.MaxTokens, budgetTokens: r.BudgetTokens, leased: s.coveredByLease(r.Program, used, r.MaxTokens),
+		record: &turnpb.Record{Body: &turnpb.Record_Begin{Begin: begin}},
 	}
 	s.submit(admitted.op)
-	return admitted, nil
+	if admitted.op.leased {
+		admitted.op.resolve(nil)
+	}
+	return nil
+}
+
+// checkBudget returns an error of KindBudget if a program that has used so many tokens, with those
+// of pending records, has too few left for an attempt, or one of checkLeases. s.mu must be held.
+func (s *shard) checkBudget(r BeginRequest, used int64) error {
+	if used+r.MaxTokens > r.BudgetTokens {
+		return Errorf("begin turn", KindBudget, "budget of %d tokens can't admit %d more: %d are spent or reserved", r.BudgetTokens, r.MaxTokens, used)
+	}
+	return s.checkLeases(r, used)
 }
 
 // sessionEndpoint returns the endpoint that last served the session. For the first
--- a/turn/maintain.go
+++ b/turn/maintain.go
@@ -59,6 +59,7 @@
 func (s *shard) expireAndTrim(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	s.state.expire(now)
+	s.leases.expire(now)
 	before := int64(0)
 	for len(s.trimPoints) > 0 && now.Sub(s.trimPoints[0].writtenAt) > trimAge {
 		before = s.trimPoints[0].offset
--- a/turn/replicate.go
+++ b/turn/replicate.go
@@ -60,7 +60,7 @@
 	var ops []*writeOp
 	selectedPrograms := map[string]bool{}
 	for _, op := range s.pending {
-		if op.replicated || selectedPrograms[op.program] || !s.mayReplicate(op, now) {
+		if op.replicated || op.leased || op.record.GetRelease() != nil || selectedPrograms[op.program] || !s.mayReplicate(op, now) {
 			continue
 		}
 		selectedPrograms[op.program] = op.program != ""
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -29,6 +29,13 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	state *state
+	// leases holds the leases on budgets by the same records, without those that are only
+	// replicated.
+	leases *leaseLedger
+	// releasingLeases is set while a record that ends the leases of this process is pending.
+	releasingLeases bool
+	// foreignRecordAt is when a record of another process was last applied.
+	foreignRecordAt time.Time
 	// nextOffset is the offset after the last record applied to state.
 	nextOffset int64
 	// loaded is set once the shard was read to its end.
@@ -79,7 +86,7 @@
 
 func newShard(set *ShardSet, number int) *shard {
 	return &shard{
-		set: set, number: number, lastUsedAt: time.Now(), state: newState(), pendingByNumber: map[uint64]*writeOp{},
+		set: set, number: number, lastUsedAt: time.Now(), state: newState(), leases: newLeaseLedger(), pendingByNumber: map[uint64]*writeOp{},
 		endpointBySession: map[string]string{}, firstSessionByProgram: map[string]string{}, fetchedTextByAttempt: map[string][]byte{},
 	}
 }
@@ -102,6 +109,7 @@
 			continue
 		}
 		s.state.apply(r)
+		s.leases.apply(r)
 		writtenAt := time.UnixMilli(r.GetWrittenMs())
 		if n := len(s.trimPoints); n == 0 || writtenAt.Sub(s.trimPoints[n-1].writtenAt) > trimPointInterval {
 			s.trimPoints = append(s.trimPoints, trimPoint{offset: offset, writtenAt: writtenAt})
@@ -110,6 +118,7 @@
 			s.complete(r.GetAppend(), nil)
 		} else {
 			programs[programOf(r)] = true
+			s.foreignRecordAt = time.Now()
 		}
 	}
 	s.refuseOverBudget(programs)
--- a/turn/shardset_test.go
+++ b/turn/shardset_test.go
@@ -39,10 +39,16 @@
 // newShardSet returns the shard set of a new process, for a log of 4 shards. It finds
 // conversations of other shards by loading these shards itself.
 func (env *testEnv) newShardSet() *turn.ShardSet {
+	return env.newShardSetWith(env.log, env.replicator)
+}
+
+// newShardSetWith returns such a shard set that reaches the log and the replicas through the given
+// ones.
+func (env *testEnv) newShardSetWith(log turn.Log, replicator turn.Replicator) *turn.ShardSet {
 	env.lastWriterID++
 	var set *turn.ShardSet
 	set = turn.New(turn.Config{
-		WriterID: env.lastWriterID, ShardCount: 4, Log: env.log, Replicator: env.replicator, Logger: zap.NewNop(),
+		WriterID: env.lastWriterID, ShardCount: 4, Log: log, Replicator: replicator, Logger: zap.NewNop(),
 		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter,
 		ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, MaxStaleness: turn.DefaultMaxStaleness, IsHome: func(int) bool { return true },
 		FindElsewhere: func(ctx context.Context, turnID string, exceptShard int) ([]byte, bool, error) {
--- a/turn/writeop.go
+++ b/turn/writeop.go
@@ -24,7 +24,10 @@
 	budgetTokens   int64
 	// replicated is set when enough other processes hold the record, so that its
 	// caller may continue before the log has it.
-	replicated  bool
+	replicated bool
+	// leased is set when a lease covers the tokens of the attempt, so that its caller may
+	// continue before the log has the record.
+	leased      bool
 	submittedAt time.Time
 	// resolved is closed when the record is in the log, replicated or refused; err is
 	// set before.
@@ -50,6 +53,9 @@
 		}
 	}
 	close(op.logged)
+	if op.record.GetRelease() != nil {
+		s.releasingLeases = false
+	}
 	if op.replicated {
 		s.releasable = append(s.releasable, op.encoded)
 	}
