Reuse connections to endpoints where many fronts send few requests each

Cause: 84 fronts send 7 requests a second each to 16 plain endpoints, so that a connection rests for two seconds. A request that must not be lost takes one that has rested for less than a second only, and closed all older ones on the way; others were closed after 5 s although the endpoint keeps them longer.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -59,6 +59,7 @@
 	health    health
 	slowdown  slowdown
 	limit     limitState
+	idle      idleConnections
 }
 
 // Target is the endpoint picked for one request. Its zero value is no endpoint.
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -75,6 +75,7 @@
 	defer d.mu.Unlock()
 	if e, ok := d.find(t); ok && e.localRunning > 0 {
 		e.localRunning--
+		e.idle.add(time.Now())
 		d.notifyChanged()
 	}
 }
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -59,6 +59,7 @@
 		return Target{}, result
 	}
 	best.localRunning++
+	best.idle.take()
 	best.limit.permitPending = best.limit.Named
 	return Target{endpoint: best, registration: best.registration, kind: q.Kind, pickedAt: now, limit: best.limit.Limit}, Picked
 }
