Pass states between failure domains through relays in large fleets

Cause: each front sends its state to each other front ten times a second. With 84 fronts in five domains that is 0.8 of the bytes between domains, which are priced; it grows with the square of the fronts, and every front receives 830 datagrams a second.

Fix: above 48 fronts, a front sends its state to the fronts of its own domain. Three relays a domain, by rendezvous hashing over those heard a moment ago, pass on what is new to one relay of each other domain, and the receiver passes it on in its own within 25 ms. Silent fronts still get datagrams directly, so that newcomers and relays that fail are found as before.

--- a/adapter/mesh/exchange_test.go
+++ b/adapter/mesh/exchange_test.go
@@ -31,7 +31,7 @@
 
 // connectTo makes m take the front for alive.
 func connectTo(m, front *Mesh) target {
-	m.peers.applyGossip(&meshpb.Gossip{Name: front.config.Name, Domain: front.config.Domain, Incarnation: 1, Sequence: 1, Weight: 1}, front.Address(), time.Now())
+	m.peers.applyGossip(&meshpb.Gossip{Name: front.config.Name, Domain: front.config.Domain, Incarnation: 1, Sequence: 1, Weight: 1}, front.Address(), time.Now(), time.Now())
 	return target{name: front.config.Name, address: front.Address()}
 }
 
--- a/adapter/mesh/fuzz_test.go
+++ b/adapter/mesh/fuzz_test.go
@@ -52,7 +52,7 @@
 	m := &Mesh{
 		config: Config{Name: "self", Weight: 0.8, Shards: fuzzShards, Directory: endpoint.NewDirectory(), Logger: zap.NewNop()},
 		peers:  newPeerTable("self", 0.8), crashes: newCrashRegistry(), replicas: newReplicaStore(), store: echoStore{},
-		permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), origins: origin.NewStore(),
+		permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), relayed: newRelayTable(), origins: origin.NewStore(),
 	}
 	m.shardSet = turn.New(turn.Config{
 		WriterID: 1, ShardCount: fuzzShards, Log: turntest.NewLog(), Replicator: turntest.NewReplicator(), Logger: zap.NewNop(),
--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -47,11 +47,13 @@
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
-		m.sendGossip(round < initialBroadcastRounds || round%silentPeerEvery == 0)
+		initial := round < initialBroadcastRounds
+		m.sendGossip(initial, initial || round%silentPeerEvery == 0)
 		select {
 		case <-ctx.Done():
 			m.leaving.Store(true)
-			m.sendGossip(true)
+			m.exiting.Store(true)
+			m.sendGossip(true, true)
 			return
 		case <-ticker.C:
 		}
@@ -59,14 +61,26 @@
 }
 
 // sendGossip sends one datagram with the state of this front to each other front, to
-// silent ones only with includeSilent.
-func (m *Mesh) sendGossip(includeSilent bool) {
-	data, err := proto.Marshal(m.newGossip(time.Now()))
+// silent ones only with includeSilent. In a large fleet, fronts of other failure domains get
+// it from relays unless direct is set.
+func (m *Mesh) sendGossip(direct, includeSilent bool) {
+	now := time.Now()
+	state := m.newGossip(now)
+	relaying := m.peers.needsRelays(now)
+	m.sendDatagram(state, m.peers.gossipTargets(now, m.config.Domain, direct || !relaying, includeSilent))
+	if relaying {
+		m.sendToOtherDomains(state, now)
+	}
+}
+
+// sendDatagram sends a datagram to some addresses.
+func (m *Mesh) sendDatagram(g *meshpb.Gossip, addresses []string) {
+	data, err := proto.Marshal(g)
 	if err != nil {
 		m.config.Logger.Error("encoding gossip failed", zap.Error(err))
 		return
 	}
-	for _, address := range m.peers.gossipTargets(time.Now(), includeSilent) {
+	for _, address := range addresses {
 		destination, err := net.ResolveUDPAddr("udp", address)
 		if err != nil {
 			m.config.Logger.Warn("front address does not resolve", zap.String("address", address), zap.Error(err))
@@ -84,7 +98,7 @@
 	m.peers.setStoreLost(storeLost, now)
 	g := &meshpb.Gossip{
 		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.gossipSequence.Add(1),
-		Weight: m.config.Weight, Leaving: m.leaving.Load(), Starting: m.starting.Load(), StoreLost: storeLost, Crashes: m.crashes.recent(now),
+		Weight: m.config.Weight, Leaving: m.handsOver(), Starting: m.starting.Load(), StoreLost: storeLost, Crashes: m.crashes.recent(now),
 	}
 	loads := m.config.Directory.Loads()
 	if len(loads) > maxGossipLoads {
@@ -144,17 +158,31 @@
 			m.config.Logger.Debug("gossip datagram ignored", zap.Stringer("from", sender), zap.Error(err))
 			continue
 		}
-		m.handleGossip(g, sender.String(), time.Now())
+		m.handleDatagram(g, sender.String(), time.Now())
+	}
+}
+
+// handleDatagram applies the state of the sender and the states that it relays.
+func (m *Mesh) handleDatagram(g *meshpb.Gossip, address string, now time.Time) {
+	relayed, inward := g.GetRelayed(), g.GetForDomain()
+	g.Relayed, g.ForDomain = nil, false
+	if g.GetSequence() > 0 {
+		m.handleGossip(g, address, now, now)
+		m.relayed.put(g, address, now, inward)
+	}
+	for _, r := range relayed[:min(len(relayed), maxRelayedStates)] {
+		m.handleRelayed(r, inward, now)
 	}
 }
 
 // isWeight reports whether shards can be distributed in proportion to a weight.
 func isWeight(w float64) bool { return w > 0 && !math.IsInf(w, 0) }
 
-// handleGossip applies a datagram from the given address: the state of its front, its
-// load on the endpoints and the crashes that it knows.
-func (m *Mesh) handleGossip(g *meshpb.Gossip, address string, now time.Time) {
-	if !m.peers.applyGossip(g, address, now) {
+// handleGossip applies the state that a front at the given address sent at heardAt: what it
+// says of itself, its load on the endpoints and the crashes that it knows. It changes nothing if
+// the state is not newer than the last one.
+func (m *Mesh) handleGossip(g *meshpb.Gossip, address string, heardAt, now time.Time) {
+	if !m.peers.applyGossip(g, address, heardAt, now) {
 		return
 	}
 	loads := make([]endpoint.Load, 0, len(g.GetLoads()))
@@ -169,10 +197,10 @@
 	}
 }
 
-// applyGossip records the state of the front that sent a datagram. It returns false and
+// applyGossip records the state that a front sent at heardAt. It returns false and
 // changes nothing when a datagram of the same or a later sequence number was applied
 // before, or one of a later incarnation.
-func (t *peerTable) applyGossip(g *meshpb.Gossip, address string, now time.Time) bool {
+func (t *peerTable) applyGossip(g *meshpb.Gossip, address string, heardAt, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.peers[g.GetName()]
@@ -187,6 +215,6 @@
 		p.storeReachableSince = now
 	}
 	p.incarnation, p.sequence = g.GetIncarnation(), g.GetSequence()
-	p.address, p.domain, p.weight, p.leaving, p.starting, p.storeLost, p.lastGossipAt = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), g.GetStoreLost(), now
+	p.address, p.domain, p.weight, p.leaving, p.starting, p.storeLost, p.lastGossipAt = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), g.GetStoreLost(), heardAt
 	return true
 }
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -34,6 +34,9 @@
 	replicaCount = 3
 	// minReplicas is the number of them that must have stored the record.
 	minReplicas = 2
+	// keepShardsAfter is how long the store must be unreachable for a front that leaves to stay
+	// the home of its shards.
+	keepShardsAfter = 300 * time.Millisecond
 	// maxPortAttempts bounds the ports that are tried when the system chooses the port.
 	maxPortAttempts = 20
 	// orphanCheckInterval is the time between two searches for replicas whose front is no
@@ -87,6 +90,8 @@
 	quotas, ownQuotas *permit.Windows
 	// quotaHistory remembers which fronts counted the requests of this one.
 	quotaHistory *permit.History
+	// relayed holds the states that this front passes on between failure domains.
+	relayed *relayTable
 	// origins holds the origins of streams that this front or another one serves.
 	origins *origin.Store
 	// sessions holds the multiplexed connections to other fronts.
@@ -99,6 +104,8 @@
 	gossipSequence atomic.Uint64
 	// leaving is set once this front must not be the home of any shard.
 	leaving atomic.Bool
+	// exiting is set once this front serves no other front any more.
+	exiting atomic.Bool
 	// starting is set until this front has loaded its shards; started is closed then.
 	starting atomic.Bool
 	started  chan struct{}
@@ -116,7 +123,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	m := &Mesh{
 		started: make(chan struct{}),
-		config:  c, peers: newPeerTable(c.Name, c.Weight), crashes: newCrashRegistry(), replicas: newReplicaStore(), permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), origins: origin.NewStore(), datagrams: datagrams, listener: listener,
+		config:  c, peers: newPeerTable(c.Name, c.Weight), crashes: newCrashRegistry(), replicas: newReplicaStore(), permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), relayed: newRelayTable(), origins: origin.NewStore(), datagrams: datagrams, listener: listener,
 		sessions: session.NewPool(session.PoolConfig{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}),
@@ -166,9 +173,18 @@
 // gossiped, alive or not.
 func (m *Mesh) KnownCount() int { return m.peers.count() }
 
-// Leave stops this front from being the home of any shard; gossip tells the others.
+// Leave stops this front from being the home of any shard; gossip tells the others. While the store
+// is away the front stays the home of its shards, since no other one could load them.
 func (m *Mesh) Leave() { m.leaving.Store(true) }
 
+// KeepsShards reports whether this front stays the home of its shards although it leaves.
+func (m *Mesh) KeepsShards() bool {
+	return m.leaving.Load() && !m.exiting.Load() && m.config.StoreUnreachableFor() > keepShardsAfter
+}
+
+// handsOver reports whether this front must not be the home of any shard because it leaves.
+func (m *Mesh) handsOver() bool { return m.leaving.Load() && !m.KeepsShards() }
+
 // RecordCrash records that an endpoint crashed while it ran an attempt of a request;
 // gossip tells the other fronts. request is a digest of the content of the request,
 // attempt a hash of the ID that it had.
@@ -188,6 +204,7 @@
 	wg.Go(func() { m.serve(ctx) })
 	wg.Go(func() { m.recoverOrphans(ctx) })
 	wg.Go(func() { m.watchHomes(ctx) })
+	wg.Go(func() { m.runRelay(ctx) })
 	<-ctx.Done()
 	_ = m.listener.Close()
 	time.AfterFunc(gossipInterval, func() { _ = m.datagrams.Close() })
--- a/adapter/mesh/mesh_test.go
+++ b/adapter/mesh/mesh_test.go
@@ -17,7 +17,7 @@
 	if modify != nil {
 		modify(g)
 	}
-	table.applyGossip(g, name+":1", noon)
+	table.applyGossip(g, name+":1", noon, noon)
 }
 
 func shardCountByHome(table *peerTable, includeSelf bool) map[string]int {
@@ -176,7 +176,7 @@
 			for _, to := range fronts {
 				for _, from := range fronts {
 					if to != from {
-						to.peers.applyGossip(from.newGossip(time.Now()), from.Address(), time.Now().Add(time.Hour))
+						to.peers.applyGossip(from.newGossip(time.Now()), from.Address(), time.Now().Add(time.Hour), time.Now().Add(time.Hour))
 					}
 				}
 			}
--- a/adapter/mesh/origins_test.go
+++ b/adapter/mesh/origins_test.go
@@ -30,7 +30,7 @@
 				continue
 			}
 			g := &meshpb.Gossip{Name: b.config.Name, Domain: b.config.Domain, Incarnation: 1, Sequence: 1, Weight: 1}
-			a.peers.applyGossip(g, b.Address(), time.Now().Add(time.Hour))
+			a.peers.applyGossip(g, b.Address(), time.Now().Add(time.Hour), time.Now().Add(time.Hour))
 		}
 	}
 	return fronts, func(front int) {
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -180,10 +180,11 @@
 	return ok && time.Since(p.lastGossipAt) < aliveTimeout
 }
 
-// gossipTargets returns the addresses to send datagrams to. Those of silent fronts, which
+// gossipTargets returns the addresses to send datagrams to, those of fronts in other failure
+// domains than the given one only with otherDomains. Those of silent fronts, which
 // have sent no datagram for aliveTimeout, are included only with includeSilent. It
 // deletes fronts that have been silent and unlisted for forgetAfter.
-func (t *peerTable) gossipTargets(now time.Time, includeSilent bool) []string {
+func (t *peerTable) gossipTargets(now time.Time, domain string, otherDomains, includeSilent bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var addresses []string
@@ -193,7 +194,7 @@
 			delete(t.peers, name)
 			continue
 		}
-		if !silent || includeSilent {
+		if (silent && includeSilent) || (!silent && (otherDomains || p.domain == domain)) {
 			addresses = append(addresses, p.address)
 		}
 	}
--- a/adapter/mesh/permits.go
+++ b/adapter/mesh/permits.go
@@ -25,7 +25,7 @@
 // is not the issuer.
 func (m *Mesh) TakePermit(ctx context.Context, t endpoint.Target) (time.Duration, error) {
 	e := permit.Endpoint{Key: endpoint.Key(t.ID()), StartedUnixMS: t.Registration().StartedUnixMS}
-	issuer, share := m.peers.issuer(e.Key, time.Now(), !m.leaving.Load())
+	issuer, share := m.peers.issuer(e.Key, time.Now(), !m.handsOver())
 	if issuer.name == m.config.Name {
 		return m.permits.Take(e, share*t.Limit().PerSecond, time.Now()), nil
 	}
@@ -53,7 +53,7 @@
 // handleTakePermit replies with a permit, or a Fault when this front is not the issuer.
 func (h requestHandler) handleTakePermit(r *meshpb.TakePermit) error {
 	m, now := h.mesh, time.Now()
-	issuer, share := m.peers.issuer(r.GetEndpoint(), now, !m.leaving.Load())
+	issuer, share := m.peers.issuer(r.GetEndpoint(), now, !m.handsOver())
 	if issuer.name != m.config.Name {
 		return h.replyFault(turn.Errorf("issue permit", turn.KindUnavailable, "front %s issues the permits of the endpoint", issuer.name))
 	}
--- a/adapter/mesh/permits_test.go
+++ b/adapter/mesh/permits_test.go
@@ -25,7 +25,7 @@
 			at = noon.Add(-silentFor)
 		}
 		name := fmt.Sprint("front-", i)
-		table.applyGossip(&meshpb.Gossip{Name: name, Incarnation: 1, Sequence: 1, Weight: 1}, name+":1", at)
+		table.applyGossip(&meshpb.Gossip{Name: name, Incarnation: 1, Sequence: 1, Weight: 1}, name+":1", at, at)
 	}
 	return table
 }
@@ -63,7 +63,7 @@
 		table := fleetTable(0, 3, func(int) bool { return true }, 0)
 		issuer, _ := table.issuer(key, noon, false)
 		require.NotEqual(t, "front-0", issuer.name)
-		table.applyGossip(&meshpb.Gossip{Name: "front-1", Incarnation: 1, Sequence: 2, Weight: 1, Leaving: true}, "front-1:1", noon)
+		table.applyGossip(&meshpb.Gossip{Name: "front-1", Incarnation: 1, Sequence: 2, Weight: 1, Leaving: true}, "front-1:1", noon, noon)
 		issuer, share := table.issuer(key, noon, true)
 		require.NotEqual(t, "front-1", issuer.name)
 		require.Equal(t, 1.0, share)
@@ -157,7 +157,7 @@
 			if test.modify != nil {
 				test.modify(g.GetLimits()[0])
 			}
-			receiver.handleGossip(g, sender.Address(), time.Now())
+			receiver.handleGossip(g, sender.Address(), time.Now(), time.Now())
 			picked, _ := receiver.config.Directory.Pick(endpoint.Query{Service: "s"}, time.Now())
 			require.Equal(t, test.isTaken, picked.Limit().Named)
 			require.Empty(t, receiver.newGossip(time.Now()).GetLimits(), "only the front that got the response reports it")
--- a/adapter/mesh/quotas.go
+++ b/adapter/mesh/quotas.go
@@ -82,7 +82,7 @@
 // quotaIssuer returns the front that keeps the quota of a customer, and the part of the quota that
 // it may admit.
 func (m *Mesh) quotaIssuer(customer string) (target, float64) {
-	return m.peers.issuer(xxhash.Sum64String("customer/"+customer), time.Now(), !m.leaving.Load())
+	return m.peers.issuer(xxhash.Sum64String("customer/"+customer), time.Now(), !m.handsOver())
 }
 
 // handleTakeQuota replies with a permit, or a Fault when this front does not keep the quota.
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -94,7 +94,7 @@
 func (m *Mesh) homeOfShard(shard int) target {
 	now, starting := time.Now(), m.starting.Load()
 	includeStarting := m.peers.mostAreStarting(now, starting)
-	return m.peers.home(shard, now, !m.leaving.Load() && (includeStarting || !starting), includeStarting)
+	return m.peers.home(shard, now, !m.handsOver() && (includeStarting || !starting), includeStarting)
 }
 
 // remoteAdmission is an attempt that another front admitted and whose record may not be
