Serve programs that can still be in time before late ones of their rank

Fix: late programs go after the others of their rank, in the queue and by a priority of their own inside engines, still before the next rank. They wait no longer than the others make them: nothing is refused for it.

In a model of 400 late turns at once beside programs at four fifths of the capacity, 200 of 200 of the latter are in time, none before, and all late turns are served.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -12,8 +12,12 @@
 type Priority struct {
 	// Rank is the rank of the route; 0 is served first.
 	Rank int
-	// DueAt is when the request or its program should be finished. Of requests of equal
-	// rank, the one that is due first is served first.
+	// Late is set if the program of the request can't be finished in time any more. Of
+	// requests of equal rank, those that can are served first: late ones earn little, and
+	// would make the others late too.
+	Late bool
+	// DueAt is when the request or its program should be finished. Of requests that are equal
+	// otherwise, the one that is due first is served first.
 	DueAt time.Time
 	// GiveUpAt is until when the request may wait for a service of which endpoints name rate
 	// limits; zero is until its end. It has no influence on the order.
@@ -26,6 +30,9 @@
 	if p.Rank != other.Rank {
 		return p.Rank < other.Rank
 	}
+	if p.Late != other.Late {
+		return other.Late
+	}
 	return p.DueAt.Before(other.DueAt)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -242,15 +242,22 @@
 	return c.route.Rank()
 }
 
-// queuePriority returns the priority of the request in the queue: its rank, then the
-// deadline of its program or, if that is unknown, the end of the route's latency target.
+// late reports whether the program of the request is past its deadline.
+func (c *call) late() bool {
+	due := c.request.ProgramDeadline
+	return !due.IsZero() && !due.After(time.Now())
+}
+
+// queuePriority returns the priority of the request in the queue: its rank, then whether its
+// program is late, then the deadline of that or, if it is unknown, the end of the route's
+// latency target.
 func (c *call) queuePriority() dispatch.Priority {
 	dueAt := c.request.ProgramDeadline
 	if dueAt.IsZero() {
 		dueAt = c.request.ReceivedAt.Add(c.route.LatencyTarget())
 	}
 	maxWait := time.Duration(maxWaitRatio * float64(c.deadline.Sub(c.request.ReceivedAt)))
-	return dispatch.Priority{Rank: c.rank(), DueAt: dueAt, GiveUpAt: c.request.ReceivedAt.Add(maxWait)}
+	return dispatch.Priority{Rank: c.rank(), Late: c.late(), DueAt: dueAt, GiveUpAt: c.request.ReceivedAt.Add(maxWait)}
 }
 
 // logRequest writes the log line of a request; an empty reason is left out.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -275,7 +275,11 @@
 }
 
 // enginePriority returns the request's priority inside an engine, from 1 for rank 0 up to
-// lowestPriority.
+// lowestPriority. That of late programs is between those of their rank and the next one.
 func (s *streaming) enginePriority() int {
-	return min(lowestPriority, 1+priorityStep*s.rank())
+	priority := 1 + priorityStep*s.rank()
+	if s.late() {
+		priority++
+	}
+	return min(lowestPriority, priority)
 }
