Keep the shards of a front that leaves while the store is away

Cause: fronts that are restarted one after the other within an outage hand their shards to fronts that can't load them.

Fix: a front that leaves stays the home of its shards while the store is away, up to the end of its grace, and drains that long.

--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,3 +114,26 @@
 	require.Zero(t, log.Reads())
 	require.Zero(t, front.shardSet.Status().PendingRecords)
 }
+
+// TestLeavingFrontKeepsItsShardsWhileTheStoreIsAway guards against shards that nobody can load, as when
+// fronts are restarted one after the other within an outage (omuti-large trouble-2, 11 to 16 s: 180
+// tries ended because no home of their program could be reached or had loaded its shard).
+func TestLeavingFrontKeepsItsShardsWhileTheStoreIsAway(t *testing.T) {
+	away := time.Duration(0)
+	m := newTestMesh(t, "m")
+	m.config.StoreUnreachableFor = func() time.Duration { return away }
+	m.MarkStarted()
+	other := newTestMesh(t, "other")
+	connectTo(m, other)
+	shard := slices.Index([]bool{m.IsHome(0), m.IsHome(1), m.IsHome(2), m.IsHome(3)}, true)
+	require.GreaterOrEqual(t, shard, 0)
+	away = 2 * keepShardsAfter
+	m.Leave()
+	require.True(t, m.KeepsShards())
+	require.True(t, m.IsHome(shard))
+	require.False(t, m.newGossip(time.Now()).GetLeaving())
+	away = 0
+	require.False(t, m.KeepsShards())
+	require.False(t, m.IsHome(shard))
+	require.True(t, m.newGossip(time.Now()).GetLeaving())
+}
--- a/daemon/front_lifecycle.go
+++ b/daemon/front_lifecycle.go
@@ -124,7 +124,8 @@
 
 // drain makes the front report that it is not ready and gives up its shards, but keeps
 // serving until minDrainTime has passed and no request is left, or until the grace
-// period without its reserve has passed. Then it closes the callers' connections and
+// period without its reserve has passed; while the store is away, the others need the shards
+// that it holds. Then it closes the callers' connections and
 // waits until the pending records are in the log.
 func (f *Front) drain() {
 	started := time.Now()
@@ -144,7 +145,7 @@
 		}
 	}()
 	for time.Since(started) < drainTime {
-		if time.Since(started) > min(minDrainTime, drainTime) && f.ingress.ActiveRequests() == 0 {
+		if time.Since(started) > min(minDrainTime, drainTime) && f.ingress.ActiveRequests() == 0 && !f.mesh.KeepsShards() {
 			break
 		}
 		time.Sleep(pollInterval)
