--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -153,7 +153,7 @@
 func (h requestHandler) handleBegin(ctx context.Context, b *meshpb.Begin) error {
 	t, err := h.mesh.shardSet.Begin(ctx, turn.BeginRequest{
 		Program: b.GetProgram(), Session: b.GetSession(), Attempt: b.GetAttempt(), Previous: b.GetPrevious(),
-		BudgetTokens: b.GetBudget(), MaxTokens: b.GetTokens(), Lease: b.GetLease(), Kept: b.GetKept(),
+		BudgetTokens: b.GetBudget(), MaxTokens: b.GetTokens(), Lease: b.GetLease(),
 	})
 	if err != nil {
 		return h.replyFault(err)
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -112,7 +112,7 @@
 // beginRemote asks another front, the home of the program, to admit an attempt.
 func (m *Mesh) beginRemote(ctx context.Context, home target, r turn.BeginRequest) (turn.Admission, error) {
 	x, err := m.openExchange(ctx, home, &meshpb.Request{Body: &meshpb.Request_Begin{Begin: &meshpb.Begin{
-		Program: r.Program, Session: r.Session, Attempt: r.Attempt, Previous: r.Previous, Budget: r.BudgetTokens, Tokens: r.MaxTokens, Lease: r.Lease, Kept: r.Kept,
+		Program: r.Program, Session: r.Session, Attempt: r.Attempt, Previous: r.Previous, Budget: r.BudgetTokens, Tokens: r.MaxTokens, Lease: r.Lease,
 	}}})
 	if err != nil {
 		return nil, err
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -32,7 +32,7 @@
 	defer limit.Stop()
 	admission, err := c.TurnTracker.Begin(ctx, turn.BeginRequest{
 		Program: c.turnProgram(), Session: r.Session, Attempt: c.scoped(r.ID), Previous: c.previousTurn(), BudgetTokens: r.BudgetTokens, MaxTokens: r.MaxTokens,
-		Lease: true, Kept: c.route.Stateful(),
+		Lease: !c.route.Stateful(),
 	})
 	c.turnBegun = err == nil
 	if err != nil && turn.KindOf(err) != turn.KindBudget && turn.KindOf(err) != turn.KindNotFound {
--- a/turn/begin.go
+++ b/turn/begin.go
@@ -87,7 +87,7 @@
 		begin.Budget = r.BudgetTokens
 	}
 	admitted.op = &writeOp{
-		program: r.Program, reservedTokens: r.MaxTokens, budgetTokens: r.BudgetTokens, leased: s.coveredByLease(r, used),
+		program: r.Program, reservedTokens: r.MaxTokens, budgetTokens: r.BudgetTokens, leased: s.coveredByLease(r.Program, used, r.MaxTokens),
 		record: &turnpb.Record{Body: &turnpb.Record_Begin{Begin: begin}},
 	}
 	s.submit(admitted.op)
--- a/turn/interfaces.go
+++ b/turn/interfaces.go
@@ -60,12 +60,9 @@
 	// MaxTokens is how many tokens this turn may generate. They are reserved until the
 	// attempt ends.
 	MaxTokens int64
-	// Lease lets the home lease tokens of the program, so that it can admit turns before the log
-	// has their records.
+	// Lease lets the home lease tokens of the program, so that it can admit turns while the
+	// log is away. It is of no use for turns that end only once the log has them.
 	Lease bool
-	// Kept is set for a turn that is kept, which ends only once the log has it. It is not admitted
-	// under a lease while the log takes no records: its output would be thrown away.
-	Kept bool
 }
 
 // EndRequest settles an attempt.
--- a/turn/lease.go
+++ b/turn/lease.go
@@ -188,11 +188,11 @@
 
 // coveredByLease reports whether the tokens of an attempt may be handed out before the log has its
 // begin record, if the program has used that many with the pending ones. s.mu must be held.
-func (s *shard) coveredByLease(r BeginRequest, usedWithPending int64) bool {
-	if s.releasingLeases || time.Since(s.syncedAt) > leaseMaxAge || (r.Kept && !s.failingSince.IsZero()) {
+func (s *shard) coveredByLease(program string, usedWithPending, tokens int64) bool {
+	if s.releasingLeases || time.Since(s.syncedAt) > leaseMaxAge {
 		return false
 	}
-	return usedWithPending+r.MaxTokens <= s.leases.allowance(r.Program, s.set.writerID)
+	return usedWithPending+tokens <= s.leases.allowance(program, s.set.writerID)
 }
 
 // checkLeases returns an error if a program has enough tokens left only without those that are
--- a/turn/lease_test.go
+++ b/turn/lease_test.go
@@ -61,37 +61,6 @@
 	}
 }
 
-// TestKeptTurnsBeginAtOnceUnderALease checks that a turn of a known program waits for a slow log once,
-// at its end (stoyanov-vale scale-1, 30 to 36 s: the store takes 50 times as long, and four of five
-// programs are late), and that it does not begin while the log takes nothing.
-func TestKeptTurnsBeginAtOnceUnderALease(t *testing.T) {
-	withTestEnv(t, func(t *testing.T, env *testEnv) {
-		set := env.newShardSet()
-		require.Equal(t, 1, runTurns(t, set, "p", "before", 2000, 1))
-		time.Sleep(time.Second)
-		env.log.SetAppendDelay(200 * time.Millisecond)
-		kept := leaseRequest("p", "kept", 2000)
-		kept.Kept = true
-		admission, err := set.Begin(t.Context(), kept)
-		require.NoError(t, err)
-		require.True(t, confirmedWithin(t, admission, time.Millisecond))
-		time.Sleep(time.Second)
-		env.log.SetFault(turntest.Unavailable)
-		require.Error(t, set.End(shortly(t), turn.EndRequest{Program: "p", Attempt: "kept", DeliveredTokens: 25, Completed: &turn.CompletedTurn{Text: []byte("x")}}))
-		kept.Attempt = "later"
-		admission, err = set.Begin(t.Context(), kept)
-		require.NoError(t, err)
-		require.False(t, confirmedWithin(t, admission, time.Millisecond))
-	})
-}
-
-// shortly returns a context that ends after the appends of a failing log have.
-func shortly(t *testing.T) context.Context {
-	ctx, cancel := context.WithTimeout(t.Context(), 2*turn.DefaultLogTimeout)
-	t.Cleanup(cancel)
-	return ctx
-}
-
 // TestBudgetHoldsWhenTheHolderOfALeaseIsLost checks that the next home never hands out tokens that a
 // lost one may have handed out, and that most of what was left is still there for it.
 func TestBudgetHoldsWhenTheHolderOfALeaseIsLost(t *testing.T) {
--- a/turn/turntest/log.go
+++ b/turn/turntest/log.go
@@ -52,8 +52,6 @@
 	fault              Fault
 	appends            int
 	reads              int
-	// appendDelay is how long an append takes.
-	appendDelay time.Duration
 	// readDelay is how long a read takes.
 	readDelay time.Duration
 	// readRate is how many bytes per second all reads get together, 0 for no limit.
@@ -81,13 +79,6 @@
 	return l.appends
 }
 
-// SetAppendDelay sets how long subsequent appends take.
-func (l *Log) SetAppendDelay(d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.appendDelay = d
-}
-
 // SetReadDelay sets how long subsequent reads take.
 func (l *Log) SetReadDelay(d time.Duration) {
 	l.mu.Lock()
@@ -113,9 +104,8 @@
 // AppendAt implements turn.Log.
 func (l *Log) AppendAt(ctx context.Context, shard int, offset int64, records [][]byte) error {
 	l.mu.Lock()
-	fault, delay := l.fault, l.appendDelay
+	fault := l.fault
 	l.mu.Unlock()
-	_ = timer.Sleep(ctx, delay)
 	switch fault {
 	case Unavailable:
 		<-ctx.Done()
