Keep homes with the fronts that load their shards after the loss of all

Cause: after the loss of all fronts, those without shards of their own are ready at once.

Fix: a front that starts while most others do says so in its gossip, and may be a home while it starts. Fronts that start wait for 95% of the others, 0.6 s at most, before they decide on homes, and let turns wait until then, so that they agree.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -98,7 +98,7 @@
 	m.peers.setStoreLost(storeLost, now)
 	g := &meshpb.Gossip{
 		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.gossipSequence.Add(1),
-		Weight: m.config.Weight, Leaving: m.handsOver(), Starting: m.starting.Load(), StoreLost: storeLost, Crashes: m.crashes.recent(now),
+		Weight: m.config.Weight, Leaving: m.handsOver(), Starting: m.starting.Load(), Cold: m.cold.Load(), StoreLost: storeLost, Crashes: m.crashes.recent(now),
 	}
 	loads := m.config.Directory.Loads()
 	if len(loads) > maxGossipLoads {
@@ -215,6 +215,6 @@
 		p.storeReachableSince = now
 	}
 	p.incarnation, p.sequence = g.GetIncarnation(), g.GetSequence()
-	p.address, p.domain, p.weight, p.leaving, p.starting, p.storeLost, p.lastGossipAt = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), g.GetStoreLost(), heardAt
+	p.address, p.domain, p.weight, p.leaving, p.starting, p.cold, p.storeLost, p.lastGossipAt = address, g.GetDomain(), g.GetWeight(), g.GetLeaving(), g.GetStarting(), g.GetCold(), g.GetStoreLost(), heardAt
 	return true
 }
--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
 	"github.com/lavendervale/lavendervale/turn"
 	"github.com/lavendervale/lavendervale/turn/turntest"
 )
@@ -137,3 +138,54 @@
 	require.False(t, m.IsHome(shard))
 	require.True(t, m.newGossip(time.Now()).GetLeaving())
 }
+
+// TestHomeIsUnknownUntilMostFrontsAreHeard guards against turns that go to a wrong home while all
+// fronts start, which then loads the shard for nothing.
+func TestHomeIsUnknownUntilMostFrontsAreHeard(t *testing.T) {
+	m := newTestMesh(t, "m")
+	m.AwaitPeers()
+	m.MarkStarted()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	require.True(t, m.waitSettled(ctx))
+	found := make(chan target)
+	go func() { found <- m.homeOfProgram(t.Context(), "p") }()
+	other := newTestMesh(t, "other")
+	connectTo(m, other)
+	select {
+	case home := <-found:
+		require.Fail(t, "home decided too early", home.name)
+	case <-time.After(20 * time.Millisecond):
+	}
+	other.MarkStarted()
+	m.MarkSettled()
+	require.Equal(t, m.homeOfShard(turn.ShardOf("p", m.config.Shards)).name, (<-found).name)
+	require.False(t, m.waitSettled(t.Context()))
+}
+
+// TestHomesStayWhileAllFrontsStart guards against shards that are loaded several times after the loss of
+// all fronts: fronts without shards are ready at once, and as soon as they were the majority, they took
+// the others' shards (stoyanov-vale-grown inc-070d: 80 loads of 24 shards, and 3.5 s until a third of
+// the fronts was ready).
+func TestHomesStayWhileAllFrontsStart(t *testing.T) {
+	tests := []struct {
+		name string
+		cold bool
+		want string
+	}{
+		{"all start", true, "big"}, {"one starts", false, "small-1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newPeerTable("self", 0.1)
+			state := func(name string, weight float64, starting, cold bool) {
+				table.applyGossip(&meshpb.Gossip{Name: name, Incarnation: 1, Sequence: 1, Weight: weight, Starting: starting, Cold: cold}, name+":1", noon, noon)
+			}
+			state("big", 100, true, test.cold)
+			state("small-1", 0.3, false, test.cold)
+			state("small-2", 0.01, false, test.cold)
+			require.False(t, table.mostAreStarting(noon, false))
+			require.Equal(t, test.want, table.home(3, noon, false, false).name)
+		})
+	}
+}
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -109,6 +109,11 @@
 	// starting is set until this front has loaded its shards; started is closed then.
 	starting atomic.Bool
 	started  chan struct{}
+	// cold is set if most other fronts started with this one.
+	cold atomic.Bool
+	// settled is closed once this front has heard of most others, so that it knows its shards; nil
+	// unless AwaitPeers was called.
+	settled chan struct{}
 	// shardSet and store serve the requests of other fronts, see SetHandlers.
 	shardSet *turn.ShardSet
 	store    Store
@@ -212,6 +217,16 @@
 	m.sessions.Close()
 }
 
+// AwaitPeers makes turns wait until MarkSettled is called: before this front has heard of most others,
+// it does not know which front is the home of a shard. It must be called before Run.
+func (m *Mesh) AwaitPeers() { m.settled = make(chan struct{}) }
+
+// MarkSettled records that this front has heard of most others. It must be called once.
+func (m *Mesh) MarkSettled() {
+	m.cold.Store(m.peers.mostAreStarting(time.Now(), true))
+	close(m.settled)
+}
+
 // MarkStarted records that this front has loaded its shards and may be a home; gossip
 // tells the others.
 func (m *Mesh) MarkStarted() {
--- a/adapter/mesh/peers.go
+++ b/adapter/mesh/peers.go
@@ -44,6 +44,8 @@
 	leaving bool
 	// starting is set until the front has loaded its shards.
 	starting bool
+	// cold is set if the front started while most others did.
+	cold bool
 	// storeLost is set while the front can't reach the store by itself.
 	storeLost bool
 	// storeReachableSince is when the front reported that it reaches the store again,
@@ -251,9 +253,11 @@
 	return best
 }
 
-// canBeHome reports whether the front is alive and may be the home of shards.
+// canBeHome reports whether the front is alive and may be the home of shards. A front that is
+// starting may if most others started with it: those that have nothing to load are ready first, and
+// would load the shards of the others once more.
 func (p *peer) canBeHome(now time.Time, includeStarting bool) bool {
-	return p.alive(now) && !p.leaving && (!p.starting || includeStarting)
+	return p.alive(now) && !p.leaving && (!p.starting || p.cold || includeStarting)
 }
 
 // mostAreStarting reports whether more than half of the fronts that are alive and not leaving
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -151,6 +151,11 @@
 // handleBegin replies Opened when the attempt is admitted, and then whether its record
 // became durable.
 func (h requestHandler) handleBegin(ctx context.Context, b *meshpb.Begin) error {
+	if h.mesh.waitSettled(ctx) {
+		if home := h.mesh.homeOfShard(turn.ShardOf(b.GetProgram(), h.mesh.config.Shards)); home.name != h.mesh.config.Name {
+			return h.replyFault(turn.Errorf("begin turn", turn.KindUnavailable, "front %s is the home of the program", home.name))
+		}
+	}
 	t, err := h.mesh.shardSet.Begin(ctx, turn.BeginRequest{
 		Program: b.GetProgram(), Session: b.GetSession(), Attempt: b.GetAttempt(), Previous: b.GetPrevious(),
 		BudgetTokens: b.GetBudget(), MaxTokens: b.GetTokens(), Lease: b.GetLease(),
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -76,6 +76,7 @@
 // starting, it is a home only when there is no other; it then waits until it has
 // started.
 func (m *Mesh) homeOfProgram(ctx context.Context, program string) target {
+	m.waitSettled(ctx)
 	shard := turn.ShardOf(program, m.config.Shards)
 	t := m.homeOfShard(shard)
 	if t.name != m.config.Name || !m.starting.Load() {
@@ -88,13 +89,31 @@
 	return m.homeOfShard(shard)
 }
 
+// waitSettled waits until this front has heard of most others, or ctx ends, and reports whether it had
+// to wait.
+func (m *Mesh) waitSettled(ctx context.Context) bool {
+	select {
+	case <-m.settled:
+		return false
+	default:
+	}
+	if m.settled == nil {
+		return false
+	}
+	select {
+	case <-m.settled:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // homeOfShard returns the front that is the home of a shard. Fronts that are starting can be
 // homes while most are, as after the loss of all: otherwise each would take itself for the home
 // of every shard, and then the first that has started.
 func (m *Mesh) homeOfShard(shard int) target {
 	now, starting := time.Now(), m.starting.Load()
 	includeStarting := m.peers.mostAreStarting(now, starting)
-	return m.peers.home(shard, now, !m.handsOver() && (includeStarting || !starting), includeStarting)
+	return m.peers.home(shard, now, !m.handsOver() && (includeStarting || !starting || m.cold.Load()), includeStarting)
 }
 
 // remoteAdmission is an attempt that another front admitted and whose record may not be
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -122,6 +122,7 @@
 		opened.close()
 		return nil, err
 	}
+	f.mesh.AwaitPeers()
 	f.initComponents()
 	return f, nil
 }
--- a/daemon/front_lifecycle.go
+++ b/daemon/front_lifecycle.go
@@ -22,11 +22,15 @@
 	// shardLoadTimeout bounds the loading of the front's own shards before it is ready.
 	shardLoadTimeout = 4 * time.Second
 	// peerListTimeout bounds the wait for the list of other fronts at the start;
-	// minPeerWait and maxPeerWait bound the wait for gossip of half of them that follows.
-	// A front that knows no other would take itself for the home of all shards.
+	// minPeerWait and maxPeerWait bound the wait for gossip of half of them that follows, and
+	// mostPeersWait that for mostPeersShare of them. A front that knows no other would take
+	// itself for the home of all shards, and fronts that know different ones would each load
+	// the same shards.
 	peerListTimeout = 2 * time.Second
 	minPeerWait     = 150 * time.Millisecond
+	mostPeersWait   = 600 * time.Millisecond
 	maxPeerWait     = 1500 * time.Millisecond
+	mostPeersShare  = 0.95
 	// pollInterval is the time between two checks of a condition at start and stop.
 	pollInterval = 50 * time.Millisecond
 	// isolatedAfter is how long the store may be unreachable until a front that has no
@@ -50,12 +54,14 @@
 	started := time.Now()
 	select {
 	case <-ctx.Done():
+		f.mesh.MarkSettled()
 		return
 	case <-f.storeWatch.PeersLoaded():
 	case <-time.After(peerListTimeout):
 		f.config.Logger.Warn("front starts without the list of other fronts", zap.Duration("waited", peerListTimeout))
 	}
 	waitForPeers(ctx, f.mesh.AliveCount, f.mesh.KnownCount)
+	f.mesh.MarkSettled()
 	f.loadOwnShards(ctx)
 	f.mesh.MarkStarted()
 	for f.routes.Table() == nil || f.directory.Len() == 0 {
@@ -85,10 +91,17 @@
 	wg.Wait()
 }
 
-// waitForPeers waits at least minPeerWait, and then until half of the known fronts are
-// alive, maxPeerWait has passed or ctx ends.
+// waitForPeers waits at least minPeerWait, and then until mostPeersShare of the known fronts
+// are alive, half of them after mostPeersWait, until maxPeerWait has passed or ctx ends.
 func waitForPeers(ctx context.Context, alive, known func() int) {
-	for waited := time.Duration(0); waited < minPeerWait || (waited < maxPeerWait && 2*alive() < known()); waited += pollInterval {
+	for waited := time.Duration(0); waited < maxPeerWait; waited += pollInterval {
+		share := mostPeersShare
+		if waited >= mostPeersWait {
+			share = 0.5
+		}
+		if waited >= minPeerWait && float64(alive()) >= share*float64(known()) {
+			return
+		}
 		if timer.Sleep(ctx, pollInterval) != nil {
 			return
 		}
