--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -53,7 +53,12 @@
 			time.Sleep(time.Duration(rng.ExpFloat64() / 40 * float64(time.Second)))
 			wg.Go(func() {
 				due := time.Now().Add(time.Second)
-				if runTurn(due, 3*time.Second) && runTurn(due, 3*time.Second) && !time.Now().After(due) {
+				for range 2 {
+					if !runTurn(due, 3*time.Second) {
+						return
+					}
+				}
+				if !time.Now().After(due) {
 					mu.Lock()
 					defer mu.Unlock()
 					timely++
