--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -111,11 +111,14 @@
 // endpoint and delivers the result; results must have room for it.
 func (c *call) startAttempt(ctx context.Context, t endpoint.Target, results chan<- attemptResult) {
 	c.attempts++
-	go func() {
-		response, err := c.roundTrip(ctx, t)
-		c.Directory.Release(t)
-		results <- attemptResult{target: t, response: response, err: err}
-	}()
+	go func() { results <- c.attemptAt(ctx, t) }()
+}
+
+// attemptAt sends the request to an endpoint, which it releases, and returns the result.
+func (c *call) attemptAt(ctx context.Context, t endpoint.Target) attemptResult {
+	response, err := c.roundTrip(ctx, t)
+	c.Directory.Release(t)
+	return attemptResult{target: t, response: response, err: err}
 }
 
 // startHedge does the same for a hedge, which counts once more towards the customer's quota. A hedge
@@ -128,9 +131,7 @@
 			results <- attemptResult{target: t, response: fullResponse{notRun: true}}
 			return
 		}
-		response, err := c.roundTrip(ctx, t)
-		c.Directory.Release(t)
-		results <- attemptResult{target: t, response: response, err: err}
+		results <- c.attemptAt(ctx, t)
 	}()
 }
 
