Log endpoints that say in their responses that they leave

The platform's client reads it in the head of each response, also of refusals, invalid ones and late ones to earlier requests; the directory remembers it with the incarnation, and nothing is decided by it yet.

--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -41,6 +41,9 @@
 	// mixedUntil is until when a service has several versions according to other instances,
 	// by the Key of its name.
 	mixedUntil map[uint64]time.Time
+	// departures holds the latest incarnation of each endpoint that is known to leave, by the Key
+	// of its ID.
+	departures map[uint64]departure
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 	// lastExpiryAt is when dropExpired last searched for expired endpoints.
@@ -58,7 +61,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, peerReports: map[string]loadReport{}, typicalTimes: map[string]time.Duration{},
-		versions: versionTable{}, mixedUntil: map[uint64]time.Time{},
+		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]departure{},
 		changed: make(chan struct{}),
 	}
 }
@@ -92,6 +95,9 @@
 	if r.ColdFor > 0 {
 		added.coldUntil = now.Add(r.ColdFor)
 	}
+	if known, ok := d.departures[added.key]; ok {
+		added.leaving = known.covers(r.StartedUnixMS)
+	}
 	d.byID[r.ID] = added
 	d.versions.add(r)
 	d.byService[r.Service] = append(d.byService[r.Service], added)
@@ -212,6 +218,7 @@
 			d.drop(e, now)
 		}
 	}
+	d.dropDepartures(now)
 }
 
 // drop deletes an endpoint; d.mu must be held.
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -46,6 +46,8 @@
 	// key is the Key of the endpoint's ID.
 	key   uint64
 	state State
+	// leaving is set once the incarnation has said in a response that it leaves.
+	leaving bool
 	// addedAt is when this instance first saw the registration of the incarnation.
 	addedAt time.Time
 	// missingSince is when the registration went missing, or zero while it is present.
@@ -90,6 +92,9 @@
 // request must not be sent before PermitTaken.
 func (t Target) Limit() Limit { return t.limit }
 
+// PickedAt returns when the endpoint was picked.
+func (t Target) PickedAt() time.Time { return t.pickedAt }
+
 // Zero reports whether t is the zero value.
 func (t Target) Zero() bool { return t.registration.ID == "" }
 
--- a/gateway/endpoint_result.go
+++ b/gateway/endpoint_result.go
@@ -43,6 +43,19 @@
 		zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
 }
 
+// leavingRecorder returns a function that reports to the directory that an endpoint said it leaves,
+// and logs it the first time, with what was known of the endpoint before.
+func (c *call) leavingRecorder(t endpoint.Target) func() {
+	return func() {
+		c.Metrics.leavingResponses.Inc()
+		if !c.Directory.RecordLeaving(t, time.Now()) {
+			return
+		}
+		c.Logger.Info("endpoint leaves", zap.String("endpoint", t.ID()), zap.String("address", t.Address()), zap.String("version", t.Registration().Version),
+			zap.String("request", c.request.ID), zap.Bool("draining", t.Registration().State == endpoint.Draining), zap.Duration("picked_before", time.Since(t.PickedAt())))
+	}
+}
+
 // recordCrashIfDown records a crash if an endpoint that broke off a request no longer
 // accepts connections. If it does, only the connection was lost, which says nothing against
 // the request.
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -30,6 +30,9 @@
 	// FreshConnection asks for a new or very recently used connection. An idle one may have
 	// been closed by the endpoint, which loses a request that must not be repeated.
 	FreshConnection bool
+	// OnLeaving is called when a response of the endpoint says that it leaves, before Send or
+	// a method of the response returns. The response may be invalid or one to an earlier request.
+	OnLeaving func()
 }
 
 // Transport sends requests to endpoints.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,8 @@
 	firstEventTime prometheus.Histogram
 	hedges         prometheus.Counter
 	permits        *prometheus.CounterVec
+	// leavingResponses counts responses of endpoints that say they leave.
+	leavingResponses prometheus.Counter
 }
 
 // latencyBuckets are the histogram bounds in seconds, from 2 ms to about 4 s.
@@ -47,7 +49,10 @@
 	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lavendervale_permits_total", Help: "Permits asked for at endpoints that name a rate limit, by result.",
 	}, []string{"result"})
-	r.MustRegister(m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits)
+	m.leavingResponses = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "lavendervale_leaving_responses_total", Help: "Responses of endpoints that say they leave.",
+	})
+	r.MustRegister(m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
 	return m
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -73,6 +73,7 @@
 func (c *call) roundTrip(ctx context.Context, t endpoint.Target) (fullResponse, error) {
 	response, err := c.Transport.Send(ctx, t, EndpointRequest{
 		Request: c.request, Deadline: c.deadline, Priority: noPriority, Customer: c.customer.Name, FreshConnection: c.route.RetryPolicy() == route.AtMostOnce,
+		OnLeaving: c.leavingRecorder(t),
 	})
 	if err != nil {
 		return fullResponse{}, err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -148,6 +148,7 @@
 	s.recordOrigin(ctx)
 	response, err := s.Transport.Send(ctx, s.target, EndpointRequest{
 		Request: s.request, Context: s.admission.Text(), Deadline: s.deadline, Priority: s.enginePriority(), LastEventID: s.lastEventID, Customer: s.customer.Name,
+		OnLeaving: s.leavingRecorder(s.target),
 	})
 	if err != nil {
 		if notRun(err) {
