--- /dev/null
+++ b/daemon/front_leaving_test.go
@@ -0,0 +1,54 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavendervale/lavendervale/standin/store"
+	"github.com/lavendervale/lavendervale/standin/worker"
+)
+
+// TestEndpointThatSaysItLeavesGetsNoRequests guards against requests to an endpoint whose response
+// to the same front said that it leaves, while its entry in the store is ready or can't be read.
+func TestEndpointThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	tests := []struct {
+		name         string
+		method, path string
+		behavior     worker.Behavior
+		fault        store.Fault
+	}{
+		{name: "stream", method: http.MethodPost, path: "/survey/1"},
+		{name: "stream, store away", method: http.MethodPost, path: "/survey/1", fault: store.Unavailable},
+		{name: "repeatable request", method: http.MethodGet, path: "/look/1"},
+		{name: "request that runs once", method: http.MethodPost, path: "/pay/1", fault: store.ConnectionReset},
+		{name: "refusal", method: http.MethodGet, path: "/look/1", behavior: worker.Overloaded},
+		{name: "invalid response", method: http.MethodGet, path: "/look/1", behavior: worker.MissingStamp},
+		{name: "broken stream", method: http.MethodPost, path: "/survey/1", behavior: worker.TruncatedResponse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newPlatformSite(t)
+			f := s.startFront()
+			leaving := map[string]*worker.Worker{"/survey/1": s.engines[0], "/look/1": s.shops[0], "/pay/1": s.shops[0]}[test.path]
+			leaving.Leave()
+			leaving.SetBehavior(test.behavior)
+			s.store.SetFault(test.fault)
+			for i := 0; len(leaving.Arrivals()) == 0; i++ {
+				require.Less(t, i, 100, "the endpoint is used")
+				_, _, _, _ = f.send(t, test.method, test.path, fmt.Sprint("before-", i), "x")
+			}
+			leaving.SetBehavior(worker.Healthy)
+			arrivals := len(leaving.Arrivals())
+			for i := range 30 {
+				status, _, body, err := f.send(t, test.method, test.path, fmt.Sprint("after-", i), "x")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status, body)
+			}
+			require.Len(t, leaving.Arrivals(), arrivals)
+		})
+	}
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -58,6 +58,8 @@
 	executions []Execution
 	// limit is the value of the header Server-Limit in all responses, empty for none.
 	limit string
+	// leaving is set once all responses say that the worker leaves.
+	leaving bool
 	// arrivals holds when each request arrived, also those that were refused.
 	arrivals []time.Time
 	// version is appended to the data of each event, after a space; empty for none.
@@ -90,6 +92,13 @@
 	w.limit = perSecond
 }
 
+// Leave makes all later responses say that the worker leaves. It goes on to execute requests.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
 // SetVersion sets the software version that the data of all later events names.
 func (w *Worker) SetVersion(version string) {
 	w.mu.Lock()
@@ -138,6 +147,9 @@
 	if w.limit != "" {
 		h.Set("Server-Limit", w.limit)
 	}
+	if w.leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	h.Set("Request-Id", r.Header.Get("Request-Id"))
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.instanceID {
 		w.mu.Unlock()
