Send no request to an endpoint that has said in a response that it leaves

Cause: only the entry in the store decided whether an endpoint takes requests; what it says in its responses was not used. A request that waited for a permit, or a hedge for its quota, looks again before it is sent.

--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -180,12 +180,13 @@
 	return e, ok && e == t.endpoint
 }
 
-// usable reports whether an endpoint takes requests; d.mu must be held. An endpoint can't
+// usable reports whether an endpoint takes requests; d.mu must be held. One that has said it leaves
+// takes none, whatever its registration says. An endpoint can't
 // renew its registration during an outage of the store, so endpoints whose registration went
 // missing since count as usable while the store is unavailable. Those that went missing
 // around the end of the outage count as usable until storeReturnGrace after it.
 func (d *Directory) usable(e *Endpoint, now time.Time) bool {
-	if e.state != Ready {
+	if e.state != Ready || e.leaving {
 		return false
 	}
 	if e.missingSince.IsZero() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,8 +217,8 @@
 	c.logRequest("refused", r.Status, r.Reason)
 }
 
-// acquire waits in the queue for an endpoint and, if that names a rate limit, for a permit. It
-// stores the endpoint in c.target; the caller must release the target.
+// acquire waits in the queue for an endpoint and, if that names a rate limit, for a permit. An
+// endpoint that has stopped taking requests meanwhile is given back. It stores the endpoint in c.target; the caller must release the target.
 func (c *call) acquire(ctx context.Context, query endpoint.Query, priority dispatch.Priority) error {
 	started := time.Now()
 	defer func() { c.queueTime += time.Since(started) }()
@@ -227,10 +227,14 @@
 		if err != nil {
 			return err
 		}
-		if c.takePermit(ctx, t) {
+		if !c.takePermit(ctx, t) {
+			continue
+		}
+		if c.Directory.Usable(t, time.Now()) {
 			c.target = t
 			return nil
 		}
+		c.Directory.Release(t)
 	}
 }
 
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -122,11 +122,11 @@
 }
 
 // startHedge does the same for a hedge, which counts once more towards the customer's quota. A hedge
-// beyond the quota is not sent.
+// beyond the quota, or to an endpoint that has stopped taking requests, is not sent.
 func (c *call) startHedge(ctx context.Context, t endpoint.Target, results chan<- attemptResult) {
 	c.attempts++
 	go func() {
-		if !c.repeatWithinQuota(ctx) {
+		if !c.repeatWithinQuota(ctx) || !c.Directory.Usable(t, time.Now()) {
 			c.Directory.Release(t)
 			results <- attemptResult{target: t, response: fullResponse{notRun: true}}
 			return
