Tell other fronts which endpoints have said that they leave

The departure goes with the gossip for ten seconds, with the incarnation and without an age, since it never ends; a front keeps it for an endpoint whose entry it has not read yet. Rate limits and departures share the rotation of long lists.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -111,6 +111,7 @@
 	g.MixedServices = m.config.Directory.MixedServices(now)
 	g.MixedServices = g.MixedServices[:min(len(g.MixedServices), maxGossipServices)]
 	g.Limits = limitsToGossip(m.config.Directory.Limits(now), g.GetSequence())
+	g.Departures = departuresToGossip(m.config.Directory.Departures(now), g.GetSequence())
 	return g
 }
 
@@ -118,8 +119,7 @@
 func limitsToGossip(reports []endpoint.LimitReport, sequence uint64) []*meshpb.EndpointLimit {
 	slices.SortFunc(reports, func(a, b endpoint.LimitReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	var out []*meshpb.EndpointLimit
-	for i := range min(len(reports), maxGossipLimits) {
-		r := reports[(sequence*maxGossipLimits+uint64(i))%uint64(len(reports))]
+	for _, r := range inTurn(reports, maxGossipLimits, sequence) {
 		out = append(out, &meshpb.EndpointLimit{
 			Endpoint: r.Endpoint, StartedUnixMs: r.StartedUnixMS, Named: r.Named, PerSecond: r.PerSecond, AgeMs: uint32(min(math.MaxUint32, r.Age.Milliseconds())),
 		})
@@ -191,6 +191,7 @@
 	}
 	m.config.Directory.UpdatePeerLoads(g.GetName(), loads, now)
 	m.applyLimits(g, now)
+	m.applyDepartures(g, now)
 	m.config.Directory.ApplyMixedServices(g.GetMixedServices()[:min(len(g.GetMixedServices()), maxGossipServices)], now)
 	for _, crash := range g.GetCrashes() {
 		m.crashes.add(crash.GetRequest(), crash.GetAttempt(), now)
--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -34,6 +34,7 @@
 				target, result := m.config.Directory.Pick(endpoint.Query{Service: service}, time.Now())
 				require.Equal(t, endpoint.Picked, result)
 				m.config.Directory.RecordLimit(target, endpoint.Limit{Named: true, PerSecond: 1.0 / 3}, time.Now())
+				m.config.Directory.RecordLeaving(target, time.Now())
 				m.RecordCrash(uint64(i), uint64(i))
 			}
 			g := m.newGossip(time.Now())
@@ -43,6 +44,7 @@
 			require.NotEmpty(t, g.GetLoads())
 			require.NotEmpty(t, g.GetLimits())
 			require.NotEmpty(t, g.GetMixedServices())
+			require.NotEmpty(t, g.GetDepartures())
 		})
 	}
 }
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -95,9 +95,7 @@
 	if r.ColdFor > 0 {
 		added.coldUntil = now.Add(r.ColdFor)
 	}
-	if known, ok := d.departures[added.key]; ok {
-		added.leaving = known.covers(r.StartedUnixMS)
-	}
+	d.applyDeparture(added)
 	d.byID[r.ID] = added
 	d.versions.add(r)
 	d.byService[r.Service] = append(d.byService[r.Service], added)
--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -2,9 +2,21 @@
 
 import "time"
 
-// leavingRetention is how long it is remembered that an incarnation leaves once its endpoint has been
-// dropped: a stale read of the store may show its registration again.
-const leavingRetention = 10 * time.Minute
+const (
+	// leavingRetention is how long it is remembered that an incarnation leaves once its endpoint
+	// has been dropped: a stale read of the store may show its registration again.
+	leavingRetention = 10 * time.Minute
+	// departureReports is how long a departure is reported to other instances.
+	departureReports = 10 * time.Second
+)
+
+// Departure tells that an incarnation of an endpoint leaves.
+type Departure struct {
+	// Endpoint is the Key of the endpoint.
+	Endpoint uint64
+	// StartedUnixMS is the start time of its incarnation in Unix milliseconds; 0 is unknown.
+	StartedUnixMS int64
+}
 
 // departure notes that an endpoint leaves, as it said itself. It holds for the incarnation that
 // said so and all earlier ones.
@@ -13,6 +25,8 @@
 	startedUnixMS int64
 	// noticedAt is when this instance first knew.
 	noticedAt time.Time
+	// secondHand is set if another instance got the response.
+	secondHand bool
 }
 
 // covers reports whether the departure holds for the incarnation with a start time. Where one of
@@ -33,18 +47,74 @@
 	if _, ok := d.find(t); !ok && t.registration.StartedUnixMS == 0 {
 		return false
 	}
-	key := Key(t.ID())
-	if known, ok := d.departures[key]; ok && known.covers(t.registration.StartedUnixMS) {
+	report := Departure{Endpoint: Key(t.ID()), StartedUnixMS: t.registration.StartedUnixMS}
+	if !d.addDeparture(report, false, now) {
 		return false
 	}
-	d.departures[key] = departure{startedUnixMS: t.registration.StartedUnixMS, noticedAt: now}
 	if e, ok := d.byID[t.ID()]; ok {
-		e.leaving = d.departures[key].covers(e.registration.StartedUnixMS)
-		d.notifyChanged()
+		d.applyDeparture(e)
+	}
+	return true
+}
+
+// addDeparture notes a departure and reports whether it is new; d.mu must be held.
+func (d *Directory) addDeparture(r Departure, secondHand bool, now time.Time) bool {
+	if known, ok := d.departures[r.Endpoint]; ok && known.covers(r.StartedUnixMS) {
+		return false
 	}
+	d.departures[r.Endpoint] = departure{startedUnixMS: r.StartedUnixMS, noticedAt: now, secondHand: secondHand}
 	return true
 }
 
+// applyDeparture marks an endpoint if its incarnation is known to leave, and reports whether it
+// does; d.mu must be held.
+func (d *Directory) applyDeparture(e *Endpoint) bool {
+	known, ok := d.departures[e.key]
+	if !ok || e.leaving || !known.covers(e.registration.StartedUnixMS) {
+		return false
+	}
+	e.leaving = true
+	d.notifyChanged()
+	return true
+}
+
+// Departures returns the departures that responses to this instance told within departureReports.
+func (d *Directory) Departures(now time.Time) []Departure {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Departure
+	for key, known := range d.departures {
+		if !known.secondHand && now.Sub(known.noticedAt) <= departureReports {
+			out = append(out, Departure{Endpoint: key, StartedUnixMS: known.startedUnixMS})
+		}
+	}
+	return out
+}
+
+// ApplyDepartures takes over the departures that another instance reports, also of endpoints whose
+// registration this one has not read yet, and returns the IDs of those that no longer take requests
+// for it.
+func (d *Directory) ApplyDepartures(reports []Departure, now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	added := map[uint64]bool{}
+	for _, r := range reports {
+		if d.addDeparture(r, true, now) {
+			added[r.Endpoint] = true
+		}
+	}
+	if len(added) == 0 {
+		return nil
+	}
+	var changed []string
+	for id, e := range d.byID {
+		if added[e.key] && d.applyDeparture(e) {
+			changed = append(changed, id)
+		}
+	}
+	return changed
+}
+
 // dropDepartures forgets old departures of endpoints that have been dropped; d.mu must be held.
 func (d *Directory) dropDepartures(now time.Time) {
 	if len(d.departures) == 0 {
