Keep the software versions that serve in the store

Cause: a front that starts knows only the versions of entries that it reads, and no front knows the origin of a stream from before, so that a resumed stream goes on at any endpoint when the older version has left. What is in no memory was taken for what never was.

The test fails on the code before: 200, with the first event of v1 and the rest of v2. Now the answer is 503, not run. Without a release the stream goes on, also before.

--- a/adapter/mesh/permits.go
+++ b/adapter/mesh/permits.go
@@ -69,6 +69,13 @@
 	return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Permit{Permit: &meshpb.Permit{WaitUs: int64((wait + time.Microsecond - 1) / time.Microsecond)}}})
 }
 
+// IsRecorder reports whether this front, of all that are alive, should record what has a key in the
+// store. Fronts may disagree while their views of the others differ.
+func (m *Mesh) IsRecorder(key uint64) bool {
+	front, _ := m.peers.issuer(key, time.Now(), !m.handsOver())
+	return front.name == m.config.Name
+}
+
 // issuer returns the front that issues the permits of an endpoint or a customer, by rendezvous hashing over
 // the fronts alive, and the part of the rate that it may issue. That is the part of the fronts
 // seen within permitMemory that are alive: the others may be cut off, with an issuer of their
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -80,6 +80,7 @@
 	shardSet       *turn.ShardSet
 	endpointClient *platform.EndpointClient
 	storeWatch     *platform.Watcher
+	versionHistory *platform.VersionHistory
 	gateway        *gateway.Gateway
 	listeners      listeners
 	ingress        *platform.Ingress
@@ -144,6 +145,7 @@
 	f.mesh.SetHandlers(f.shardSet, f.store)
 	f.endpointClient = platform.NewEndpointClient(f.registry)
 	f.storeWatch = platform.NewWatcher(platform.WatcherConfig{Store: f.store, Routes: f.routes, Directory: f.directory, AddPeer: f.mesh.AddFront, Logger: c.Logger})
+	f.versionHistory = platform.NewVersionHistory(platform.VersionHistoryConfig{Store: f.store, Directory: f.directory, IsRecorder: f.mesh.IsRecorder, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient,
 		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
@@ -173,6 +175,7 @@
 	serveErrs := make(chan error, 3)
 	wg.Go(func() { f.mesh.Run(workCtx) })
 	wg.Go(func() { f.storeWatch.Run(workCtx) })
+	wg.Go(func() { f.versionHistory.Run(workCtx) })
 	wg.Go(func() { f.endpointClient.Run(workCtx) })
 	wg.Go(func() { f.shardSet.Run(workCtx) })
 	wg.Go(func() { f.register(workCtx) })
--- a/daemon/front_version_test.go
+++ b/daemon/front_version_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -116,3 +117,64 @@
 		require.Equal(t, "id: 2\ndata: word2\n\nid: 3\ndata: word3\n\n", body)
 	}
 }
+
+// TestStreamIsNotResumedAtAnotherVersionAfterAllFrontsAreLost guards against a stream that is joined
+// from two versions, because the fronts that knew the older one were all lost and its endpoints have
+// left since.
+func TestStreamIsNotResumedAtAnotherVersionAfterAllFrontsAreLost(t *testing.T) {
+	tests := []struct {
+		name string
+		// released is set if endpoints of another version replace those that began the stream.
+		released bool
+		status   int
+	}{
+		{name: "release complete", released: true, status: http.StatusServiceUnavailable},
+		{name: "no release", status: http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newPlatformSite(t)
+			s.maxAttempts = 1
+			s.configure()
+			f := s.startFront()
+			for _, e := range s.engines {
+				e.SetVersion("v1")
+				e.SetBehavior(worker.TruncatedResponse)
+			}
+			s.waitForVersions(1)
+			_, _, begin, err := f.send(t, http.MethodPost, "/survey/1", "first", "x")
+			require.Error(t, err, "the endpoint breaks off")
+			require.Contains(t, begin, "v1")
+			f.stop()
+			<-f.done
+			f.done <- nil
+			engines := s.engines
+			if test.released {
+				s.store.Put("keyed.servers", "engine-1", nil)
+				s.store.Put("keyed.servers", "engine-2", nil)
+				engines = []*worker.Worker{s.startEngine("engine-3", "v2")}
+			}
+			executed := len(engines[0].Executions())
+			status, _, rest, err := s.startFront().send(t, http.MethodPost, "/survey/1", "second", "x", "Last-Event-Id", "1", "Resumes", "first")
+			require.NoError(t, err)
+			require.Equal(t, test.status, status, rest)
+			if test.released {
+				require.Len(t, engines[0].Executions(), executed, "the request has not run")
+			}
+		})
+	}
+}
+
+// waitForVersions waits until the store has a record of as many versions of service "llm".
+func (s *platformSite) waitForVersions(count int) {
+	require.Eventually(s.t, func() bool {
+		recorded := 0
+		for _, value := range s.store.Newest("keyed.versions") {
+			if strings.Contains(string(value), "llm") {
+				recorded++
+			}
+		}
+		return recorded == count
+	}, eventuallyTimeout, 20*time.Millisecond)
+}
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -38,6 +38,8 @@
 	removalsFinalUntil time.Time
 	// versions holds the software versions of all endpoints.
 	versions versionTable
+	// historyAwaited is set until the version history has been read.
+	historyAwaited bool
 	// mixedUntil is until when a service has several versions according to other instances,
 	// by the Key of its name.
 	mixedUntil map[uint64]time.Time
--- a/endpoint/version.go
+++ b/endpoint/version.go
@@ -8,6 +8,13 @@
 	count int
 	// lastPresent is until when the latest of those that were dropped had been present.
 	lastPresent time.Time
+	// recorded is set if the store has a record of the version.
+	recorded bool
+}
+
+// current reports whether a stream that the version began may still be resumed.
+func (v serviceVersion) current(now time.Time) bool {
+	return v.count > 0 || now.Sub(v.lastPresent) <= missingRetention
 }
 
 // versionTable holds the software versions of endpoints, by service and version.
@@ -35,12 +42,13 @@
 // holds; it is repeated while that lasts.
 const hearsayLifetime = 5 * time.Second
 
-// SeveralVersions reports whether endpoints of more than one software version serve a service,
-// or did within missingRetention, as far as this instance or another one knows.
+// SeveralVersions reports whether endpoints of more than one software version may serve a service,
+// or have served it within missingRetention, as far as this instance, another one or the version
+// history knows. It is true until an awaited history is known.
 func (d *Directory) SeveralVersions(service string, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.versions.several(service, now) || now.Before(d.mixedUntil[Key(service)])
+	return d.historyAwaited || d.versions.several(service, now) || now.Before(d.mixedUntil[Key(service)])
 }
 
 // MixedServices returns the Keys of the services of which this instance itself sees, or has
@@ -70,10 +78,14 @@
 // several reports whether a service has endpoints of several versions, or had them within
 // missingRetention.
 func (t versionTable) several(service string, now time.Time) bool {
+	current := 0
 	for version, v := range t[service] {
-		if v.count == 0 && now.Sub(v.lastPresent) > missingRetention {
+		switch {
+		case v.current(now):
+			current++
+		case !v.recorded:
 			delete(t[service], version)
 		}
 	}
-	return len(t[service]) > 1
+	return current > 1
 }
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -12,8 +12,8 @@
 
 // resumedVersion returns the software version that began the stream that the request resumes,
 // and sends the request to the service that did. It is empty if any version may serve the
-// request: it begins a stream, or no more than one version serves. It is an error if several
-// serve and none is known to have begun the stream.
+// request: it begins a stream, or no more than one version can have begun it. It is an error if
+// several may have and none is known to.
 func (c *call) resumedVersion(ctx context.Context) (string, error) {
 	const op = "resume stream"
 	if c.request.LastEventID == "" {
@@ -32,9 +32,9 @@
 		return "", nil
 	}
 	if searchErr != nil {
-		return "", Errorf(op, KindNotSent, "several software versions serve, and it is not known which began attempt %q: %w", c.request.Resumes, searchErr)
+		return "", Errorf(op, KindNotSent, "several software versions serve or may have served, and it is not known which began attempt %q: %w", c.request.Resumes, searchErr)
 	}
-	return "", Errorf(op, KindNotSent, "several software versions serve, and no instance knows which began attempt %q", c.request.Resumes)
+	return "", Errorf(op, KindNotSent, "several software versions serve or may have served, and no instance knows which began attempt %q", c.request.Resumes)
 }
 
 // recordOrigin begins to record that the current target may begin the stream. The origin is
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -82,6 +82,17 @@
 	p.records = append(p.records, record)
 }
 
+// Newest returns the newest value of each key of partition 0 of a keyed topic.
+func (s *Store) Newest(topic string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := map[string][]byte{}
+	for _, r := range s.partitionLocked(topic, 0).newestRecords() {
+		values[r.key] = r.record[1+len(r.key):]
+	}
+	return values
+}
+
 // Compact removes all records from partition 0 of a keyed topic except the newest of
 // each key, which get new offsets after the removed ones.
 func (s *Store) Compact(topic string) {
