Search other fronts' memory for a turn while its next shard can't be read

The home looks into its own memory, then reads shard 8 to its end, and only then asks the others.

They read no shard for that. The begin record goes to replicas, as before, so that the turn runs. Ruled out: lost records (the turn is found once shard 8 is read), a front that does not answer (b-3 responds to pings), the hand-over of shards (none moved).

--- a/adapter/mesh/fuzz_test.go
+++ b/adapter/mesh/fuzz_test.go
@@ -58,7 +58,8 @@
 		WriterID: 1, ShardCount: fuzzShards, Log: turntest.NewLog(), Replicator: turntest.NewReplicator(), Logger: zap.NewNop(),
 		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter,
 		ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, MaxStaleness: turn.DefaultMaxStaleness, IsHome: func(int) bool { return true },
-		FindElsewhere: func(context.Context, string, int) ([]byte, bool, error) { return nil, false, nil },
+		FindElsewhere:         func(context.Context, string, int) ([]byte, bool, error) { return nil, false, nil },
+		FindInMemoryElsewhere: func(context.Context, string) ([]byte, bool) { return nil, false },
 	})
 	return m
 }
--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -23,7 +23,7 @@
 func newStartingFront(t *testing.T, name string, writerID uint64, log *turntest.Log) *Mesh {
 	m := newTestMesh(t, name)
 	m.SetHandlers(turn.New(turn.Config{
-		WriterID: writerID, ShardCount: 4, Log: log, Replicator: m, FindElsewhere: m.Find, Logger: zap.NewNop(), IsHome: m.IsHome,
+		WriterID: writerID, ShardCount: 4, Log: log, Replicator: m, FindElsewhere: m.Find, FindInMemoryElsewhere: m.FindInMemory, Logger: zap.NewNop(), IsHome: m.IsHome,
 		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, MaxStaleness: turn.DefaultMaxStaleness,
 		ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter,
 	}), nil)
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -236,6 +236,27 @@
 	return nil, false, lastErr
 }
 
+// FindInMemory returns the conversation up to a turn that this front or another one has in memory.
+// No front reads a shard for it.
+func (m *Mesh) FindInMemory(ctx context.Context, turnID string) ([]byte, bool) {
+	if text, ok := m.shardSet.FindInMemory(turnID, m.replicas.all()); ok {
+		return text, true
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	targets := m.peers.alive(time.Now())
+	results := make(chan findResult, len(targets))
+	for _, t := range targets {
+		go func() { results <- m.findAtFront(ctx, t, turnID, nil) }()
+	}
+	for range targets {
+		if result := <-results; result.found {
+			return result.text, true
+		}
+	}
+	return nil, false
+}
+
 // shardsByTarget returns the shards that each target is the home of, without the excluded
 // one. It returns an error of turn.KindUnavailable when the home of a shard is not among the
 // targets, as when it was suspended a moment ago: nobody would search that shard.
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -139,7 +139,7 @@
 	c := f.config
 	f.store = platform.NewStore(platform.StoreConfig{Address: c.StoreAddress, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
 	f.shardSet = turn.New(turn.Config{
-		WriterID: rand.Uint64(), ShardCount: c.Shards, Log: f.store.TurnLog(), Replicator: f.mesh, FindElsewhere: f.mesh.Find, Logger: c.Logger,
+		WriterID: rand.Uint64(), ShardCount: c.Shards, Log: f.store.TurnLog(), Replicator: f.mesh, FindElsewhere: f.mesh.Find, FindInMemoryElsewhere: f.mesh.FindInMemory, Logger: c.Logger,
 		MinAppendInterval: minAppendInterval(c), Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, IsHome: f.mesh.IsHome, MaxStaleness: turn.DefaultMaxStaleness,
 	})
 	f.mesh.SetHandlers(f.shardSet, f.store)
--- a/turn/memory_test.go
+++ b/turn/memory_test.go
@@ -35,8 +35,9 @@
 func newMemorySet() *ShardSet {
 	return New(Config{
 		WriterID: 1, ShardCount: 1, Log: emptyLog{}, Replicator: noReplicas{}, Logger: zap.NewNop(), LogTimeout: DefaultLogTimeout, ReadTimeout: DefaultReadTimeout,
-		IsHome:        func(int) bool { return true },
-		FindElsewhere: func(context.Context, string, int) ([]byte, bool, error) { return []byte("a conversation"), true, nil },
+		IsHome:                func(int) bool { return true },
+		FindElsewhere:         func(context.Context, string, int) ([]byte, bool, error) { return []byte("a conversation"), true, nil },
+		FindInMemoryElsewhere: func(context.Context, string) ([]byte, bool) { return nil, false },
 	})
 }
 
--- a/turn/shardset.go
+++ b/turn/shardset.go
@@ -65,6 +65,9 @@
 	// but one. It may return found = false without an error only when every other shard
 	// was read to its end.
 	FindElsewhere func(ctx context.Context, turn string, exceptShard int) (text []byte, found bool, err error)
+	// FindInMemoryElsewhere returns the conversation up to and including a turn that this or
+	// another process has in memory. It reads no shard, so found = false says nothing about the log.
+	FindInMemoryElsewhere func(ctx context.Context, turn string) (text []byte, found bool)
 	// Logger receives the events of shards.
 	Logger *zap.Logger
 }
--- a/turn/shardset_test.go
+++ b/turn/shardset_test.go
@@ -19,6 +19,10 @@
 	log          *turntest.Log
 	replicator   *turntest.Replicator
 	lastWriterID uint64
+	// other is the process whose memory the others search, or nil.
+	other *turn.ShardSet
+	// memorySearches counts these searches.
+	memorySearches int
 }
 
 func newTestEnv() *testEnv {
@@ -62,6 +66,13 @@
 			}
 			return nil, false, nil
 		},
+		FindInMemoryElsewhere: func(_ context.Context, turnID string) ([]byte, bool) {
+			env.memorySearches++
+			if env.other == nil {
+				return nil, false
+			}
+			return env.other.FindInMemory(turnID, nil)
+		},
 	})
 	return set
 }
--- a/turn/turntest/log.go
+++ b/turn/turntest/log.go
@@ -50,8 +50,10 @@
 	// firstOffsetByShard holds the offset of the oldest of these records.
 	firstOffsetByShard map[int]int64
 	fault              Fault
-	appends            int
-	reads              int
+	// faultByShard holds the faults of single shards, which go before fault.
+	faultByShard map[int]Fault
+	appends      int
+	reads        int
 	// readDelay is how long a read takes.
 	readDelay time.Duration
 	// readRate is how many bytes per second all reads get together, 0 for no limit.
@@ -62,7 +64,7 @@
 
 // NewLog returns an empty log without faults.
 func NewLog() *Log {
-	return &Log{recordsByShard: map[int][][]byte{}, firstOffsetByShard: map[int]int64{}}
+	return &Log{recordsByShard: map[int][][]byte{}, firstOffsetByShard: map[int]int64{}, faultByShard: map[int]Fault{}}
 }
 
 // SetFault sets the fault of subsequent calls.
@@ -72,6 +74,21 @@
 	l.fault = f
 }
 
+// SetShardFault sets the failure of later calls for one shard, which goes before that of SetFault.
+func (l *Log) SetShardFault(shard int, f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faultByShard[shard] = f
+}
+
+// faultOf returns the failure of calls for a shard; l.mu must be held.
+func (l *Log) faultOf(shard int) Fault {
+	if f := l.faultByShard[shard]; f != NoFault {
+		return f
+	}
+	return l.fault
+}
+
 // Appends returns the number of appends that took effect.
 func (l *Log) Appends() int {
 	l.mu.Lock()
@@ -104,7 +121,7 @@
 // AppendAt implements turn.Log.
 func (l *Log) AppendAt(ctx context.Context, shard int, offset int64, records [][]byte) error {
 	l.mu.Lock()
-	fault := l.fault
+	fault := l.faultOf(shard)
 	l.mu.Unlock()
 	switch fault {
 	case Unavailable:
@@ -141,7 +158,7 @@
 func (l *Log) Read(ctx context.Context, shard int, offset int64) (turn.Page, error) {
 	l.mu.Lock()
 	l.reads++
-	delay, silent := l.readDelay+l.reserveReadTime(l.page(shard, offset)), l.fault == Silent
+	delay, silent := l.readDelay+l.reserveReadTime(l.page(shard, offset)), l.faultOf(shard) == Silent
 	l.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -153,7 +170,7 @@
 	if ctx.Err() != nil {
 		return turn.Page{}, turn.Errorf("read", turn.KindUnavailable, "no answer: %w", ctx.Err())
 	}
-	if l.fault == Unavailable {
+	if l.faultOf(shard) == Unavailable {
 		return turn.Page{}, turn.Errorf("read", turn.KindUnavailable, "log is down")
 	}
 	first := l.firstOffsetByShard[shard]
