Add up load reports of other fronts by their changes

Now a report replaces the one before it in the sums, and endpoints are found by the key that reports carry; limits and departures too.

--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -20,13 +20,13 @@
 type Directory struct {
 	// mu guards all other fields.
 	mu sync.Mutex
-	// byID holds the endpoints by their IDs, and byService by the names of their services.
+	// byID holds the endpoints by their IDs, byKey by the Keys of these, and byService by the names
+	// of their services.
 	byID      map[string]*Endpoint
+	byKey     map[uint64]*Endpoint
 	byService map[string][]*Endpoint
-	// peerReports is the latest load report of each other instance, by its name.
-	peerReports map[string]loadReport
-	// oldestReportAt is when the oldest of peerReports was received, or zero without any.
-	oldestReportAt time.Time
+	// peers holds the load reports of other instances.
+	peers peerLoads
 	// typicalTimes is the moving average of the request time, by kind of request.
 	typicalTimes map[string]time.Duration
 	// storeReturnedAt is when the latest outage of the store ended, or zero.
@@ -52,17 +52,10 @@
 	lastExpiryAt time.Time
 }
 
-// loadReport is what another instance has running at the endpoints.
-type loadReport struct {
-	receivedAt time.Time
-	// loads is the number of running requests by the Key of the endpoint.
-	loads map[uint64]int
-}
-
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{
-		byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}, peerReports: map[string]loadReport{}, typicalTimes: map[string]time.Duration{},
+		byID: map[string]*Endpoint{}, byKey: map[uint64]*Endpoint{}, byService: map[string][]*Endpoint{}, peers: newPeerLoads(), typicalTimes: map[string]time.Duration{},
 		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]departure{},
 		changed: make(chan struct{}),
 	}
@@ -98,10 +91,11 @@
 		added.coldUntil = now.Add(r.ColdFor)
 	}
 	d.applyDeparture(added)
-	d.byID[r.ID] = added
+	d.expirePeerLoads(now)
+	added.peerRunning = d.peers.running[added.key]
+	d.byID[r.ID], d.byKey[added.key] = added, added
 	d.versions.add(r)
 	d.byService[r.Service] = append(d.byService[r.Service], added)
-	d.sumPeerLoads(now)
 	d.notifyChanged()
 	return true
 }
@@ -230,6 +224,7 @@
 	}
 	d.versions.remove(e.registration, lastPresent)
 	delete(d.byID, e.registration.ID)
+	delete(d.byKey, e.key)
 	endpoints := d.byService[e.registration.Service]
 	for i, other := range endpoints {
 		if other == e {
--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -107,9 +107,9 @@
 		return nil
 	}
 	var changed []string
-	for id, e := range d.byID {
-		if added[e.key] && d.applyDeparture(e) {
-			changed = append(changed, id)
+	for key := range added {
+		if e, ok := d.byKey[key]; ok && d.applyDeparture(e) {
+			changed = append(changed, e.registration.ID)
 		}
 	}
 	return changed
@@ -117,17 +117,8 @@
 
 // dropDepartures forgets old departures of endpoints that have been dropped; d.mu must be held.
 func (d *Directory) dropDepartures(now time.Time) {
-	if len(d.departures) == 0 {
-		return
-	}
-	registered := map[uint64]bool{}
-	for _, e := range d.byID {
-		if e.leaving {
-			registered[e.key] = true
-		}
-	}
 	for key, known := range d.departures {
-		if !registered[key] && now.Sub(known.noticedAt) > leavingRetention {
+		if e, ok := d.byKey[key]; (!ok || !e.leaving) && now.Sub(known.noticedAt) > leavingRetention {
 			delete(d.departures, key)
 		}
 	}
--- a/endpoint/limit.go
+++ b/endpoint/limit.go
@@ -107,15 +107,11 @@
 	if len(reports) == 0 {
 		return nil
 	}
-	byKey := make(map[uint64]LimitReport, len(reports))
-	for _, r := range reports {
-		byKey[r.Endpoint] = r
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changed []string
-	for _, e := range d.byID {
-		r, ok := byKey[e.key]
+	for _, r := range reports {
+		e, ok := d.byKey[r.Endpoint]
 		observedAt := now.Add(-r.Age)
 		if !ok || r.StartedUnixMS != e.registration.StartedUnixMS || !observedAt.After(e.limit.observedAt) {
 			continue
@@ -187,5 +183,5 @@
 			next = 0
 		}
 	}
-	return Throughput{PerSecond: sum / float64(1+len(d.peerReports)), Next: next}, limited
+	return Throughput{PerSecond: sum / float64(1+len(d.peers.reports)), Next: next}, limited
 }
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -27,44 +27,88 @@
 	return out
 }
 
-// UpdatePeerLoads replaces the load report of another instance, named by peer.
-func (d *Directory) UpdatePeerLoads(peer string, loads []Load, now time.Time) {
-	running := make(map[uint64]int, len(loads))
-	for _, l := range loads {
-		running[l.Endpoint] = l.Running
+// peerLoads adds up the load reports of other instances.
+type peerLoads struct {
+	// reports is the latest report of each other instance, by its name.
+	reports map[string]loadReport
+	// running is the number of requests in all reports, by the Key of the endpoint.
+	running map[uint64]int
+	// oldestAt is not after the time at which the oldest report was received, and zero without any.
+	oldestAt time.Time
+}
+
+// loadReport is what another instance has running at the endpoints.
+type loadReport struct {
+	receivedAt time.Time
+	loads      []Load
+}
+
+func newPeerLoads() peerLoads {
+	return peerLoads{reports: map[string]loadReport{}, running: map[uint64]int{}}
+}
+
+// replace replaces the report of an instance.
+func (p *peerLoads) replace(peer string, loads []Load, now time.Time) {
+	p.add(p.reports[peer].loads, -1)
+	p.add(loads, 1)
+	p.reports[peer] = loadReport{receivedAt: now, loads: loads}
+	if p.oldestAt.IsZero() {
+		p.oldestAt = now
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.peerReports[peer] = loadReport{receivedAt: now, loads: running}
-	d.sumPeerLoads(now)
-	d.notifyChanged()
 }
 
-// expirePeerLoads removes load reports that have expired from the sums; d.mu must be held.
-func (d *Directory) expirePeerLoads(now time.Time) {
-	if !d.oldestReportAt.IsZero() && now.Sub(d.oldestReportAt) > loadReportTTL {
-		d.sumPeerLoads(now)
+// add adds loads to the sums, sign times.
+func (p *peerLoads) add(loads []Load, sign int) {
+	for _, l := range loads {
+		if p.running[l.Endpoint] += sign * l.Running; p.running[l.Endpoint] == 0 {
+			delete(p.running, l.Endpoint)
+		}
 	}
 }
 
-// sumPeerLoads deletes expired load reports and adds up the others; d.mu must be held.
-func (d *Directory) sumPeerLoads(now time.Time) {
-	runningByKey := map[uint64]int{}
-	d.oldestReportAt = time.Time{}
-	for peer, r := range d.peerReports {
+// expire takes reports that have expired out of the sums and returns their loads.
+func (p *peerLoads) expire(now time.Time) []Load {
+	if p.oldestAt.IsZero() || now.Sub(p.oldestAt) <= loadReportTTL {
+		return nil
+	}
+	p.oldestAt = time.Time{}
+	var expired []Load
+	for peer, r := range p.reports {
 		if now.Sub(r.receivedAt) > loadReportTTL {
-			delete(d.peerReports, peer)
+			p.add(r.loads, -1)
+			expired = append(expired, r.loads...)
+			delete(p.reports, peer)
 			continue
 		}
-		if d.oldestReportAt.IsZero() || r.receivedAt.Before(d.oldestReportAt) {
-			d.oldestReportAt = r.receivedAt
-		}
-		for key, n := range r.loads {
-			runningByKey[key] += n
+		if p.oldestAt.IsZero() || r.receivedAt.Before(p.oldestAt) {
+			p.oldestAt = r.receivedAt
 		}
 	}
-	for _, e := range d.byID {
-		e.peerRunning = runningByKey[e.key]
+	return expired
+}
+
+// UpdatePeerLoads replaces the load report of another instance, named by peer. The directory keeps
+// loads, which must not be changed any more.
+func (d *Directory) UpdatePeerLoads(peer string, loads []Load, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	previous := d.peers.reports[peer].loads
+	d.peers.replace(peer, loads, now)
+	d.applyPeerLoads(previous)
+	d.applyPeerLoads(loads)
+	d.expirePeerLoads(now)
+	d.notifyChanged()
+}
+
+// expirePeerLoads removes load reports that have expired; d.mu must be held.
+func (d *Directory) expirePeerLoads(now time.Time) { d.applyPeerLoads(d.peers.expire(now)) }
+
+// applyPeerLoads brings the endpoints of changed loads up to date; d.mu must be held.
+func (d *Directory) applyPeerLoads(changed []Load) {
+	for _, l := range changed {
+		if e, ok := d.byKey[l.Endpoint]; ok {
+			e.peerRunning = d.peers.running[l.Endpoint]
+		}
 	}
 }
 
