--- a/adapter/mesh/departures.go
+++ b/adapter/mesh/departures.go
@@ -37,13 +37,3 @@
 		m.config.Logger.Info("endpoint departure learnt", zap.String("endpoint", id), zap.String("front", g.GetName()))
 	}
 }
-
-// inTurn returns up to most of the items for the datagram of a sequence number, so that successive
-// datagrams have all of them in turn.
-func inTurn[T any](items []T, most int, sequence uint64) []T {
-	out := make([]T, 0, min(len(items), most))
-	for i := range min(len(items), most) {
-		out = append(out, items[(sequence*uint64(most)+uint64(i))%uint64(len(items))])
-	}
-	return out
-}
--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -127,6 +127,16 @@
 	return out
 }
 
+// inTurn returns up to most of the items for the datagram of a sequence number, so that successive
+// datagrams have all of them in turn.
+func inTurn[T any](items []T, most int, sequence uint64) []T {
+	out := make([]T, 0, min(len(items), most))
+	for i := range min(len(items), most) {
+		out = append(out, items[(sequence*uint64(most)+uint64(i))%uint64(len(items))])
+	}
+	return out
+}
+
 // applyLimits passes the rate limits that another front has read on to the directory.
 func (m *Mesh) applyLimits(g *meshpb.Gossip, now time.Time) {
 	var reports []endpoint.LimitReport
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -43,9 +43,8 @@
 	// mixedUntil is until when a service has several versions according to other instances,
 	// by the Key of its name.
 	mixedUntil map[uint64]time.Time
-	// departures holds the latest incarnation of each endpoint that is known to leave, by the Key
-	// of its ID.
-	departures map[uint64]departure
+	// departures holds the latest known departure of each endpoint, by the Key of its ID.
+	departures map[uint64]knownDeparture
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
 	// lastExpiryAt is when dropExpired last searched for expired endpoints.
@@ -56,7 +55,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		byID: map[string]*Endpoint{}, byKey: map[uint64]*Endpoint{}, byService: map[string][]*Endpoint{}, peers: newPeerLoads(), typicalTimes: map[string]time.Duration{},
-		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]departure{},
+		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]knownDeparture{},
 		changed: make(chan struct{}),
 	}
 }
--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -18,10 +18,10 @@
 	StartedUnixMS int64
 }
 
-// departure notes that an endpoint leaves, as it said itself. It holds for the incarnation that
-// said so and all earlier ones.
-type departure struct {
-	// startedUnixMS is the start time of that incarnation in Unix milliseconds; 0 is unknown.
+// knownDeparture is what this instance knows of a departure. It holds for the incarnation that said it
+// leaves, and all earlier ones.
+type knownDeparture struct {
+	// startedUnixMS is the start time of the incarnation in Unix milliseconds; 0 is unknown.
 	startedUnixMS int64
 	// noticedAt is when this instance first knew.
 	noticedAt time.Time
@@ -31,7 +31,7 @@
 
 // covers reports whether the departure holds for the incarnation with a start time. Where one of
 // both times is unknown, it is another incarnation only if it started after the departure.
-func (d departure) covers(startedUnixMS int64) bool {
+func (d knownDeparture) covers(startedUnixMS int64) bool {
 	if d.startedUnixMS == 0 && startedUnixMS != 0 {
 		return startedUnixMS <= d.noticedAt.UnixMilli()
 	}
@@ -62,7 +62,7 @@
 	if known, ok := d.departures[r.Endpoint]; ok && known.covers(r.StartedUnixMS) {
 		return false
 	}
-	d.departures[r.Endpoint] = departure{startedUnixMS: r.StartedUnixMS, noticedAt: now, secondHand: secondHand}
+	d.departures[r.Endpoint] = knownDeparture{startedUnixMS: r.StartedUnixMS, noticedAt: now, secondHand: secondHand}
 	return true
 }
 
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// add adds loads to the sums, sign times.
+// add adds loads to the sums, or takes them out with a sign of -1.
 func (p *peerLoads) add(loads []Load, sign int) {
 	for _, l := range loads {
 		if p.running[l.Endpoint] += sign * l.Running; p.running[l.Endpoint] == 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,8 +217,9 @@
 	c.logRequest("refused", r.Status, r.Reason)
 }
 
-// acquire waits in the queue for an endpoint and, if that names a rate limit, for a permit. An
-// endpoint that has stopped taking requests meanwhile is given back. It stores the endpoint in c.target; the caller must release the target.
+// acquire waits in the queue for an endpoint and, if that names a rate limit, for a permit, and
+// looks for another endpoint if that one has stopped taking requests meanwhile. It stores the
+// endpoint in c.target; the caller must release the target.
 func (c *call) acquire(ctx context.Context, query endpoint.Query, priority dispatch.Priority) error {
 	started := time.Now()
 	defer func() { c.queueTime += time.Since(started) }()
