--- a/review/store.go
+++ b/review/store.go
@@ -37,54 +37,10 @@
 	slow float64
 	// readFreeAt is until when the shared read bandwidth is in use.
 	readFreeAt time.Time
-	// fault, if set, tells what happens to a call.
-	fault func(path string) storeFault
 	// refusedTooLong counts appends refused because of a record over recordBytes.
 	refusedTooLong int
 }
 
-// storeFault is what happens to a call.
-type storeFault struct {
-	// refuse answers 503, silent does nothing and answers nothing.
-	refuse, silent bool
-	// lose executes the call after delay, and answers nothing.
-	lose  bool
-	delay time.Duration
-}
-
-// setFault sets what happens to later calls; nil ends it.
-func (s *store) setFault(fault func(path string) storeFault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = fault
-}
-
-// faultOf returns what happens to a call.
-func (s *store) faultOf(path string) storeFault {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.fault == nil {
-		return storeFault{}
-	}
-	return s.fault(path)
-}
-
-// discard is a response that goes nowhere.
-type discard struct{ header http.Header }
-
-func (d discard) Header() http.Header         { return d.header }
-func (d discard) Write(p []byte) (int, error) { return len(p), nil }
-func (d discard) WriteHeader(int)             {}
-
-// hang leaves a call without an answer until its caller has gone.
-func hang(r *http.Request) {
-	select {
-	case <-r.Context().Done():
-	case <-time.After(30 * time.Second):
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // partition is a log of records. append holds appending for its time.
 type partition struct {
 	appending sync.Mutex
@@ -142,22 +98,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	fault := s.faultOf(r.URL.Path)
-	if fault.silent {
-		hang(r)
-	}
 	time.Sleep(s.delay())
-	if fault.refuse {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	q := r.URL.Query()
-	if fault.lose && r.URL.Path == "/api/log-append" {
-		time.AfterFunc(fault.delay, func() {
-			s.append(discard{header: http.Header{}}, q.Get("topic"), q.Get("part"), q.Get("as_of"), body)
-		})
-		hang(r)
-	}
 	switch r.URL.Path {
 	case "/api/log-append":
 		s.append(w, q.Get("topic"), q.Get("part"), q.Get("as_of"), body)
