--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -14,14 +14,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
 
-	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/gateway"
-	"github.com/lavendervale/lavendervale/memory"
 	"github.com/lavendervale/lavendervale/route"
 	"github.com/lavendervale/lavendervale/turn"
 )
@@ -131,8 +127,10 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			transport, turns := &endlessTransport{}, &keptTurns{texts: map[string]int{}}
-			limiter := memory.New(memory.Config{CapacityBytes: bufferBytes})
-			g := newStreamGateway(t, transport, turns, test.stateful)
+			g, limiter := newStreamGateway(t, transport, turns, route.Config{
+				Name: "ask", Host: "h", PathPrefix: "/ask/", Streaming: true, Stateful: test.stateful, TurnRetention: time.Minute,
+				RetryPolicy: route.AtMostOnce, Splits: []route.Split{{Service: "engine", Weight: 1}},
+			})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			serve := func(ctx context.Context, id string) *responseRecorder {
@@ -172,25 +170,6 @@
 	return int64(stats.HeapAlloc)
 }
 
-// newStreamGateway returns a gateway with a route for streams.
-func newStreamGateway(t *testing.T, transport gateway.Transport, turns gateway.TurnTracker, stateful bool) *gateway.Gateway {
-	config := route.Config{Name: "ask", Host: "h", PathPrefix: "/ask/", Streaming: true, RetryPolicy: route.AtMostOnce, Splits: []route.Split{{Service: "engine", Weight: 1}}}
-	if stateful {
-		config.Stateful, config.TurnRetention = true, time.Minute
-	}
-	table, err := route.NewTable(route.TableConfig{Version: 1, Routes: []*route.Route{route.New(config)}, Services: []route.Service{{Name: "engine"}}})
-	require.NoError(t, err)
-	routes := &route.Store{}
-	_, err = routes.Update(table)
-	require.NoError(t, err)
-	directory := endpoint.NewDirectory()
-	directory.Put(endpoint.Registration{ID: "engine-1", Service: "engine", Address: "127.0.0.1:1", Slots: 4 * longStreams}, time.Now())
-	return gateway.New(gateway.Config{
-		Routes: routes, Directory: directory, Queue: dispatch.New(directory), Transport: transport, TurnTracker: turns, CrashTracker: noCrashes{},
-		Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(),
-	})
-}
-
 // partTransport answers with a body of which the first part is in memory.
 type partTransport struct {
 	// restErr is how the rest of the body ends.
