Expire turns by what of their shard has been read, not by the time of day alone

What callers saw: after a front is lost while the store is slow, 27 of 60 turns that were answered whole 35 s before are answered 404, for good. Cause: the search for expired turns, every 5 s, also went over shards that were still being read. A turn whose time was over, but which a later record prolongs, was dropped before that record was read; the later turn was then ignored, since its text would have been incomplete, and the shard counted as read.

A turn now expires only if its time was over when the last read of the end of its shard, or append to it, began: then every record that could have prolonged it has been applied. The same holds for budgets and leases of programs. It covers the related path too, a process that had the shard before, has not read it since and reads it again. A shard that is being read is not dropped as idle, nor one that a request has just taken. Looked at as well: trimming, which goes by the age of records that were read and rewrites conversations in use before; replicas, finds and begins, which wait for the whole shard; searches in memory, of which only a hit counts.

--- a/turn/append.go
+++ b/turn/append.go
@@ -188,12 +188,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.set.config.LogTimeout)
 	defer cancel()
+	started := time.Now()
 	if err := s.set.config.Log.AppendAt(ctx, s.number, offset, records); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.syncedAt = time.Now()
+	s.syncedTo(started)
 	s.applyRecords(offset, records)
 	for _, op := range batch {
 		s.complete(op.appendNumber, nil)
--- a/turn/lease.go
+++ b/turn/lease.go
@@ -177,10 +177,11 @@
 	return false
 }
 
-// expire removes the budgets of programs without recent records.
-func (l *leaseLedger) expire(now time.Time) {
+// expire removes the budgets of programs that had no recent records at syncedAt, when all records
+// of the shard were applied.
+func (l *leaseLedger) expire(syncedAt time.Time) {
 	for id, p := range l.programs {
-		if now.Sub(p.lastRecordAt) > programLifetime {
+		if syncedAt.Sub(p.lastRecordAt) > programLifetime {
 			delete(l.programs, id)
 		}
 	}
--- a/turn/maintain.go
+++ b/turn/maintain.go
@@ -46,20 +46,23 @@
 	}
 }
 
-// isIdle reports whether a shard has had no request for idleShardTimeout and has
-// nothing to write.
+// isIdle reports whether a shard has had no request for idleShardTimeout, has nothing to write
+// and is not being read.
 func (s *shard) isIdle(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.lastUsedAt) > idleShardTimeout && len(s.pending) == 0
+	return now.Sub(s.lastUsedAt) > idleShardTimeout && len(s.pending) == 0 && s.load == nil && !s.reading
 }
 
 // expireAndTrim expires turns and budgets in memory and trims old records from the
 // log.
 func (s *shard) expireAndTrim(ctx context.Context, now time.Time) {
 	s.mu.Lock()
-	s.state.expire(now)
-	s.leases.expire(now)
+	// A record that was not read yet may prolong what would expire now.
+	if s.loaded {
+		s.state.expire(s.syncedAt)
+		s.leases.expire(s.syncedAt)
+	}
 	before := int64(0)
 	for len(s.trimPoints) > 0 && now.Sub(s.trimPoints[0].writtenAt) > trimAge {
 		before = s.trimPoints[0].offset
--- a/turn/read.go
+++ b/turn/read.go
@@ -177,6 +177,7 @@
 		s.mu.Lock()
 		offset := s.nextOffset
 		s.mu.Unlock()
+		started := time.Now()
 		page, err := s.readPage(offset)
 		if err != nil && KindOf(err) == KindExpired && page.FirstOffset > offset {
 			s.mu.Lock()
@@ -200,7 +201,7 @@
 		s.applyRecords(offset, page.Records)
 		atEnd := s.nextOffset >= page.NextOffset
 		if atEnd {
-			s.syncedAt = time.Now()
+			s.syncedTo(started)
 		}
 		s.mu.Unlock()
 		if atEnd {
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -54,10 +54,11 @@
 	fetchedTextByAttempt map[string][]byte
 	// appending is set while appendPending runs.
 	appending bool
-	// lastUsedAt is when the shard was created or ensureLoaded was last called, as each
-	// request and append does first.
+	// lastUsedAt is when the shard was created, taken from its set or when ensureLoaded was last
+	// called, as each request and append does first.
 	lastUsedAt time.Time
-	// syncedAt is when this process last read or appended to the end of the shard.
+	// syncedAt is when the last read of the end of the shard, or append to it, began: all records
+	// from before have been applied.
 	syncedAt time.Time
 	// failingSince is when appends began to fail, zero while they succeed.
 	failingSince time.Time
@@ -91,6 +92,20 @@
 	}
 }
 
+// touch notes that the shard is about to be used.
+func (s *shard) touch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastUsedAt = time.Now()
+}
+
+// syncedTo notes that all records from before a time are about to be applied. s.mu must be held.
+func (s *shard) syncedTo(t time.Time) {
+	if t.After(s.syncedAt) {
+		s.syncedAt = t
+	}
+}
+
 // applyRecords applies records that start at firstOffset in the log, except those that
 // were applied before, and completes the pending writes of this process among them. It
 // refuses the pending attempts that no longer fit their budgets because of records of other
--- a/turn/shardset.go
+++ b/turn/shardset.go
@@ -94,7 +94,8 @@
 	return int(xxhash.Sum64String(program) % uint64(shardCount))
 }
 
-// shard returns the shard with a number, creating it if needed. It may not be loaded.
+// shard returns the shard with a number, creating it if needed. It may not be loaded, and is not
+// dropped within idleShardTimeout.
 func (set *ShardSet) shard(number int) *shard {
 	set.mu.Lock()
 	defer set.mu.Unlock()
@@ -103,6 +104,7 @@
 		s = newShard(set, number)
 		set.shards[number] = s
 	}
+	s.touch()
 	return s
 }
 
--- a/turn/state.go
+++ b/turn/state.go
@@ -207,16 +207,17 @@
 	return n.writtenAt
 }
 
-// expire removes expired turns and the budgets of programs without recent records.
-func (s *state) expire(now time.Time) {
+// expire removes the turns and the budgets of programs that had expired at syncedAt, when all
+// records of the shard were applied.
+func (s *state) expire(syncedAt time.Time) {
 	for id, n := range s.turns {
-		if now.After(n.expiresAt) {
+		if syncedAt.After(n.expiresAt) {
 			delete(s.turns, id)
 			s.textBytes -= int64(len(n.text))
 		}
 	}
 	for id, p := range s.programs {
-		if now.Sub(p.lastRecordAt) > programLifetime {
+		if syncedAt.Sub(p.lastRecordAt) > programLifetime {
 			delete(s.programs, id)
 		}
 	}
