Keep a turn while an attempt that continues it runs, and rewrite it near its expiry

What callers would see: a turn that runs past the retention of the one that it continues is cut off at its end ("turn not found"), or is answered whole and then not found at another front. Cause: the record of the turn names the earlier one, which the writer, or a reader of the log, may have dropped by then.

A turn that an attempt continues is now held for the longest time of an attempt, in the memory of the process that admitted it. If its retention is over when the attempt ends, the record has the whole conversation, as for conversations whose first records are trimmed soon: no reader needs the earlier turn then.

--- a/turn/begin.go
+++ b/turn/begin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	turnpb "github.com/lavendervale/lavendervale/api/turn/v1"
 )
@@ -50,6 +51,9 @@
 			return nil, err
 		}
 		admitted.conversation = text
+		s.mu.Lock()
+		s.state.hold(r.Previous, time.Now())
+		s.mu.Unlock()
 	}
 	err := s.admit(r, admitted)
 	if errors.Is(err, errLeased) && s.readToEnd(ctx) == nil {
--- a/turn/end.go
+++ b/turn/end.go
@@ -56,9 +56,10 @@
 	s.mu.Lock()
 	node, ok := s.state.turns[r.Completed.Previous]
 	earlier, rewrite := s.fetchedTextByAttempt[r.Attempt]
-	if ok && time.Since(node.firstWrittenAt()) > rewriteAge {
+	if ok && (time.Since(node.firstWrittenAt()) > rewriteAge || node.mayExpire(time.Now())) {
 		earlier, rewrite = node.conversation(), true
 	}
+	s.state.hold(r.Completed.Previous, time.Now())
 	s.mu.Unlock()
 	if ok && !rewrite {
 		return t, nil
--- a/turn/fuzz_test.go
+++ b/turn/fuzz_test.go
@@ -63,7 +63,7 @@
 				require.NotContains(t, p.reservedByAttempt, attempt, "an attempt that has ended holds no tokens")
 			}
 		}
-		s.expire(time.UnixMilli(1 << 50))
+		s.expire(time.UnixMilli(1<<50), time.UnixMilli(1<<50))
 		require.GreaterOrEqual(t, s.textBytes, int64(0))
 	})
 }
--- a/turn/maintain.go
+++ b/turn/maintain.go
@@ -60,7 +60,7 @@
 	s.mu.Lock()
 	// A record that was not read yet may prolong what would expire now.
 	if s.loaded {
-		s.state.expire(s.syncedAt)
+		s.state.expire(s.syncedAt, now)
 		s.leases.expire(s.syncedAt)
 	}
 	before := int64(0)
--- a/turn/state.go
+++ b/turn/state.go
@@ -13,6 +13,9 @@
 	// programLifetime is how long the budget of a program is kept after its last
 	// record. It equals the retention of the platform's log.
 	programLifetime = 300 * time.Second
+	// maxAttemptTime is the longest time from the admission of an attempt to its end record, which
+	// callers of this package bound.
+	maxAttemptTime = 70 * time.Second
 )
 
 // state is the result of applying the records of a shard in order.
@@ -49,6 +52,8 @@
 	writtenAt time.Time
 	// expiresAt is no earlier than that of any turn that continues this one.
 	expiresAt time.Time
+	// heldUntil is until when this process may write a record that continues the turn.
+	heldUntil time.Time
 }
 
 func newState() *state {
@@ -207,11 +212,22 @@
 	return n.writtenAt
 }
 
+// hold keeps a turn for maxAttemptTime, for the record of an attempt that continues it.
+func (s *state) hold(turn string, now time.Time) {
+	if n, ok := s.turns[turn]; ok {
+		n.heldUntil = now.Add(maxAttemptTime)
+	}
+}
+
+// mayExpire reports whether other processes may drop the turn before they read a record that is
+// written now. Such a record has to hold the whole conversation.
+func (n *turnNode) mayExpire(now time.Time) bool { return now.After(n.expiresAt.Add(-expirySlack)) }
+
 // expire removes the turns and the budgets of programs that had expired at syncedAt, when all
 // records of the shard were applied.
-func (s *state) expire(syncedAt time.Time) {
+func (s *state) expire(syncedAt, now time.Time) {
 	for id, n := range s.turns {
-		if syncedAt.After(n.expiresAt) {
+		if syncedAt.After(n.expiresAt) && now.After(n.heldUntil) {
 			delete(s.turns, id)
 			s.textBytes -= int64(len(n.text))
 		}
