Ban a request only for crashes that nothing else explains

What callers saw: after endpoints crash for reasons of their own, all turns that say "yes", of any program and customer, are refused for five minutes at all fronts. Cause: a crash was held against every request under way there, by a hash that equal inputs share, and counted by attempt, so that three equal inputs at one endpoint were enough. Nothing told the guilty from bystanders.

A request is now banned once it has crashed three incarnations of endpoints one after the other and is not known to have run to its end anywhere in five minutes: a request that crashes each endpoint that runs it never does. Crashes are counted by content and by conversation, so a request that comes again from another program is banned as before, and a conversation that crashes endpoints is told apart from equal inputs of others. Fronts tell each other which suspects have run to their end. Runs on trial after the ban were weighed and left out: each costs an endpoint. The own interface is not concerned: its digests have the whole history, and a suspect runs alone before it is banned.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -98,8 +98,10 @@
 	m.peers.setStoreLost(storeLost, now)
 	g := &meshpb.Gossip{
 		Name: m.config.Name, Domain: m.config.Domain, Incarnation: m.config.Incarnation, Sequence: m.gossipSequence.Add(1),
-		Weight: m.config.Weight, Leaving: m.handsOver(), Starting: m.starting.Load(), Cold: m.cold.Load(), StoreLost: storeLost, Crashes: m.crashes.recent(now),
+		Weight: m.config.Weight, Leaving: m.handsOver(), Starting: m.starting.Load(), Cold: m.cold.Load(), StoreLost: storeLost,
 	}
+	crashes, cleared := m.suspects.Recent(now)
+	g.Crashes, g.ClearedRequests = crashesToGossip(crashes, now), cleared
 	loads := m.config.Directory.Loads()
 	if len(loads) > maxGossipLoads {
 		slices.SortFunc(loads, func(a, b endpoint.Load) int { return cmp.Compare(b.Running, a.Running) })
@@ -203,9 +205,7 @@
 	m.applyLimits(g, now)
 	m.applyDepartures(g, now)
 	m.config.Directory.ApplyMixedServices(g.GetMixedServices()[:min(len(g.GetMixedServices()), maxGossipServices)], now)
-	for _, crash := range g.GetCrashes() {
-		m.crashes.add(crash.GetRequest(), crash.GetAttempt(), now)
-	}
+	m.suspects.Apply(crashesFromGossip(g.GetCrashes(), heardAt), g.GetClearedRequests(), now)
 }
 
 // applyGossip records the state that a front sent at heardAt. It returns false and
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/origin"
 	"github.com/lavendervale/lavendervale/permit"
+	"github.com/lavendervale/lavendervale/quarantine"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -81,7 +82,7 @@
 type Mesh struct {
 	config   Config
 	peers    *peerTable
-	crashes  *crashRegistry
+	suspects *quarantine.Suspects
 	replicas *replicaStore
 	// permits issues the permits of the endpoints that this front is the issuer of.
 	permits *permit.Issuer
@@ -128,7 +129,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	m := &Mesh{
 		started: make(chan struct{}),
-		config:  c, peers: newPeerTable(c.Name, c.Weight), crashes: newCrashRegistry(), replicas: newReplicaStore(), permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), relayed: newRelayTable(), origins: origin.NewStore(), datagrams: datagrams, listener: listener,
+		config:  c, peers: newPeerTable(c.Name, c.Weight), suspects: quarantine.NewSuspects(), replicas: newReplicaStore(), permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), relayed: newRelayTable(), origins: origin.NewStore(), datagrams: datagrams, listener: listener,
 		sessions: session.NewPool(session.PoolConfig{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}),
@@ -190,14 +191,20 @@
 // handsOver reports whether this front must not be the home of any shard because it leaves.
 func (m *Mesh) handsOver() bool { return m.leaving.Load() && !m.KeepsShards() }
 
-// RecordCrash records that an endpoint crashed while it ran an attempt of a request;
-// gossip tells the other fronts. request is a digest of the content of the request,
-// attempt a hash of the ID that it had.
-func (m *Mesh) RecordCrash(request, attempt uint64) { m.crashes.add(request, attempt, time.Now()) }
+// RecordCrash records that an incarnation of an endpoint crashed at endedAt while it ran a request
+// that was sent to it at beganAt; gossip tells the other fronts.
+func (m *Mesh) RecordCrash(request quarantine.Identity, incarnation uint64, beganAt, endedAt time.Time) {
+	m.suspects.RecordCrash(request, incarnation, beganAt, endedAt)
+}
+
+// RecordCompletion records that a request has run to its end. Gossip tells the other fronts if any
+// endpoint crashed while it ran.
+func (m *Mesh) RecordCompletion(request quarantine.Identity) {
+	m.suspects.RecordCompletion(request, time.Now())
+}
 
-// Banned reports whether so many attempts of a request crashed endpoints that it must
-// not be run again.
-func (m *Mesh) Banned(request uint64) bool { return m.crashes.banned(request) }
+// Banned reports whether a request has crashed so many endpoints that it must not be run again.
+func (m *Mesh) Banned(request quarantine.Identity) bool { return m.suspects.Banned(request) }
 
 // Run sends and receives gossip, serves other fronts and recovers the records of lost
 // ones until ctx ends. It closes the sockets, the one for gossip a moment later so that
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lavendervale/lavendervale/standin/worker"
 )
@@ -275,3 +277,80 @@
 		require.Equal(t, "harmless", run.Body)
 	}
 }
+
+// TestEqualInputsAreServedAfterCrashesOfEndpoints guards against all requests with an equal input
+// being refused, at all fronts for minutes, because endpoints crashed while some of them ran (review
+// case 3).
+func TestEqualInputsAreServedAfterCrashesOfEndpoints(t *testing.T) {
+	t.Parallel()
+	const endpoints, perEndpoint = 4, 3
+	s := newPlatformSite(t)
+	core, logs := observer.New(zap.WarnLevel)
+	s.logger = zap.New(core)
+	fronts := []*testFront{s.startFront(), s.startFront()}
+	say := func(f *testFront, program, id string) (int, string, error) {
+		status, _, body, err := f.send(t, http.MethodPost, "/pay/1", id, "yes", "Program-Id", program)
+		return status, body, err
+	}
+	for _, f := range fronts {
+		require.Eventually(t, func() bool {
+			status, _, err := say(f, "p", "first")
+			return err == nil && status == 200
+		}, eventuallyTimeout, 20*time.Millisecond)
+	}
+	s.store.Put("keyed.servers", "shop-1", nil)
+	s.store.Put("keyed.servers", "shop-2", nil)
+	for i := range endpoints {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		arrived := make(chan net.Conn, perEndpoint)
+		go func() {
+			var conns []net.Conn
+			for range perEndpoint {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = bufio.NewReader(conn).ReadString('\n')
+				conns = append(conns, conn)
+			}
+			_ = l.Close()
+			for _, conn := range conns {
+				_ = conn.Close()
+			}
+			close(arrived)
+		}()
+		id := fmt.Sprintf("crash-%d", i)
+		s.announce(id, "shop", l.Addr().String(), "ready")
+		for n := range perEndpoint {
+			go func() {
+				for attempt := 0; ; attempt++ {
+					select {
+					case <-arrived:
+						return
+					default:
+					}
+					_, _, _ = say(fronts[n%2], fmt.Sprintf("program-%d-%d", i, n), fmt.Sprintf("try-%d-%d-%d", i, n, attempt))
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+		}
+		select {
+		case <-arrived:
+		case <-time.After(eventuallyTimeout):
+			t.Fatal("the endpoint did not get its requests")
+		}
+		s.store.Put("keyed.servers", id, nil)
+	}
+	require.Eventually(t, func() bool {
+		return logs.FilterMessage("endpoint crashed while it ran a request").Len() == endpoints*perEndpoint
+	}, eventuallyTimeout, 20*time.Millisecond)
+	s.startEndpoint("shop-9", "shop", false)
+	for _, f := range fronts {
+		require.Eventually(t, func() bool {
+			status, body, err := say(f, "later", "later")
+			require.NotContains(t, body, "crashed", "equal inputs of other programs must not be refused")
+			return err == nil && status == 200
+		}, eventuallyTimeout, 20*time.Millisecond)
+	}
+}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,5 +103,11 @@
 // to other instances.
 func Key(id string) uint64 { return xxhash.Sum64String(id) }
 
+// IncarnationKey returns a hash that identifies the incarnation of the endpoint in reports to other
+// instances.
+func (t Target) IncarnationKey() uint64 {
+	return Key(t.registration.ID + "/" + strconv.FormatInt(t.registration.StartedUnixMS, 10))
+}
+
 // load returns the number of requests at the endpoint, of this instance and all others.
 func (e *Endpoint) load() int { return e.localRunning + e.peerRunning }
--- a/gateway/endpoint_result.go
+++ b/gateway/endpoint_result.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/endpoint"
@@ -26,7 +25,7 @@
 	c.Directory.RecordFailure(c.target, kind == KindUnreachable || kind == KindReset, now)
 	c.Metrics.failures.WithLabelValues(kindName(kind)).Inc()
 	if kind == KindReset || kind == KindBroken {
-		go c.recordCrashIfDown(c.target)
+		go c.recordCrashIfDown(c.target, now)
 	}
 	c.Logger.Warn("endpoint failed", zap.String("request", c.request.ID), zap.String("endpoint", c.target.ID()),
 		zap.String("address", c.target.Address()), zap.String("version", c.target.Registration().Version), zap.Int("events", c.eventCount), zap.Error(err))
@@ -56,16 +55,16 @@
 	}
 }
 
-// recordCrashIfDown records a crash if an endpoint that broke off a request no longer
+// recordCrashIfDown records a crash if an endpoint that broke off a request at brokenAt no longer
 // accepts connections. If it does, only the connection was lost, which says nothing against
 // the request.
-func (c *call) recordCrashIfDown(target endpoint.Target) {
+func (c *call) recordCrashIfDown(target endpoint.Target, brokenAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	if c.Transport.Alive(ctx, target) {
 		return
 	}
-	c.CrashTracker.RecordCrash(c.digest, xxhash.Sum64String(c.request.ID))
-	c.Logger.Warn("request may have crashed its endpoint", zap.String("request", c.request.ID), zap.Uint64("digest", c.digest),
-		zap.String("endpoint", target.ID()))
+	c.CrashTracker.RecordCrash(c.identity, target.IncarnationKey(), target.PickedAt(), brokenAt)
+	c.Logger.Warn("endpoint crashed while it ran a request", zap.String("request", c.request.ID), zap.String("endpoint", target.ID()),
+		zap.Uint64("content", c.identity.Content()), zap.Uint64("conversation", c.identity.Conversation()))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/permit"
+	"github.com/lavendervale/lavendervale/quarantine"
 	"github.com/lavendervale/lavendervale/route"
 )
 
@@ -116,8 +116,8 @@
 	excludedIDs map[string]bool
 	// attempts counts the attempts that an endpoint may have run, with those under way.
 	attempts int
-	// digest identifies the request to CrashTracker; see the function digest.
-	digest uint64
+	// identity identifies the request to CrashTracker.
+	identity quarantine.Identity
 	// possiblyRan is set once an endpoint may have run the request.
 	possiblyRan bool
 	// target is the endpoint of the latest attempt.
@@ -157,9 +157,9 @@
 	}
 	c := &call{
 		Gateway: g, request: r, route: matched, table: table, customer: customer, service: matched.PickService(rand.Float64()),
-		deadline: deadline(r, matched), digest: digest(r, customer),
+		deadline: deadline(r, matched), identity: identityOf(r, customer),
 	}
-	if g.CrashTracker.Banned(c.digest) {
+	if g.CrashTracker.Banned(c.identity) {
 		g.refuse(c, w, Refusal{Status: http.StatusServiceUnavailable, Reason: "the request has crashed several endpoints"})
 		return
 	}
@@ -201,20 +201,11 @@
 	return d
 }
 
-// digest returns a hash of the content of a request that is equal for all attempts of a
-// caller. Requests without a body are distinguished by their program and session.
-func digest(r *Request, customer route.Customer) uint64 {
-	h := xxhash.New()
-	scope := customer.Name
-	if len(r.Body) == 0 {
-		scope += r.Program + "/" + r.Session
-	}
-	for _, part := range []string{r.Method, r.Host, r.Target, scope} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(r.Body)
-	return h.Sum64()
+// identityOf returns the identity by which crashes of endpoints are counted. Equal inputs of several
+// programs have the same content, and are told apart by their conversation.
+func identityOf(r *Request, customer route.Customer) quarantine.Identity {
+	content := [][]byte{[]byte(r.Method), []byte(r.Host), []byte(r.Target), []byte(customer.Name), r.Body}
+	return quarantine.NewIdentity(content, r.Program, r.Session, r.PreviousTurn)
 }
 
 // refuse sends a refusal, counts it and writes the request's log line.
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -8,6 +8,7 @@
 
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/origin"
+	"github.com/lavendervale/lavendervale/quarantine"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -104,11 +105,13 @@
 	FindOrigin(ctx context.Context, attempt string) (origin.Origin, bool, error)
 }
 
-// CrashTracker remembers requests that crash endpoints, by their digest.
+// CrashTracker remembers requests that crash endpoints.
 type CrashTracker interface {
-	// RecordCrash notes that an endpoint crashed while it ran a request; attemptHash is a
-	// hash of the request ID.
-	RecordCrash(requestDigest, attemptHash uint64)
+	// RecordCrash notes that an incarnation of an endpoint, given as a hash, crashed at endedAt while
+	// it ran a request that was sent to it at beganAt.
+	RecordCrash(request quarantine.Identity, incarnation uint64, beganAt, endedAt time.Time)
+	// RecordCompletion notes that an endpoint ran a request to its end.
+	RecordCompletion(request quarantine.Identity)
 	// Banned reports whether a request must not run again.
-	Banned(requestDigest uint64) bool
+	Banned(request quarantine.Identity) bool
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -84,6 +84,7 @@
 // that is not in memory is read at the pace of the caller; if it breaks off, so does the response.
 func (c *call) respond(ctx context.Context, w Responder, r bufferedResponse) {
 	if r.rest == nil {
+		c.CrashTracker.RecordCompletion(c.identity)
 		w.Respond(r.status, r.header, r.body)
 		c.Metrics.observeAnswered(c, r.status)
 		c.logRequest("answered", r.status, "")
@@ -92,6 +93,7 @@
 	err := copyBody(w, r)
 	switch {
 	case err == nil:
+		c.CrashTracker.RecordCompletion(c.identity)
 		w.FinishStream()
 		c.Metrics.observeAnswered(c, r.status)
 		c.logRequest("answered", r.status, "")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -80,6 +80,7 @@
 		switch {
 		case err == nil:
 			s.Directory.RecordSuccess(s.target, time.Now())
+			s.CrashTracker.RecordCompletion(s.identity)
 			return true
 		case errors.Is(err, errNotRun):
 			s.excludeTarget()
