Write a turn that is longer than a record of the log as a chain of turns

What callers saw: after the loss of all fronts, new programs that go on from conversations of 312,000 bytes stop their shards: 0 of 120 requests served. Cause: the record of such a turn has the whole conversation, the log takes no record over its limit, and the append, refused each time, was repeated for ever before all other records of the shard.

A turn with a long text is now written as several turns, each continuing the one before, the last with the identifier of the attempt: readers need no change, and earlier records keep their form. A record that is too long all the same is refused before it is queued, so that it holds no others up. The limit comes from the platform's settings (record_bytes), 256 KiB by default. Line numbers that a test expects in the example settings move by the line that it gained.

--- a/adapter/inifile/front.go
+++ b/adapter/inifile/front.go
@@ -6,8 +6,12 @@
 	"github.com/lavendervale/lavendervale/daemon"
 )
 
-// maxShards is the maximum number of shards of the log.
-const maxShards = 4096
+const (
+	// maxShards is the maximum number of shards of the log.
+	maxShards = 4096
+	// minRecordBytes is the least size of a record that the log has to take.
+	minRecordBytes = 4 << 10
+)
 
 // readFront parses the settings of a front.
 func readFront(f *file) (*Settings, error) {
@@ -32,6 +36,7 @@
 	config.StoreAddress = storeSection.address("address", true)
 	config.Shards = int(storeSection.integer("shards", daemon.DefaultShards, 1, maxShards))
 	config.StoreWriteRate = storeSection.positiveNumber("writes", 0)
+	config.MaxRecordBytes = int(storeSection.integer("record_bytes", daemon.DefaultRecordBytes, minRecordBytes, math.MaxInt32))
 	storeSection.checkKeys()
 	readLog(f, settings)
 	if err := f.checkSections("read settings", "[process]", "[listen]", "[store]", "[log]"); err != nil {
--- a/adapter/inifile/problem_test.go
+++ b/adapter/inifile/problem_test.go
@@ -24,7 +24,7 @@
 		{
 			name: "front with five mistakes", file: "settings-front.ini",
 			replacements: []string{"role = front", "role = frnt", ":8080", ":80800", "grace", "graze", "[log]", "[logs]", "shards = 12", "shards = many"},
-			want:         []string{"12 listen callers", "22 logs ", "4 process role", "7 process graze", "19 store shards"},
+			want:         []string{"12 listen callers", "23 logs ", "4 process role", "7 process graze", "19 store shards"},
 		},
 		{
 			name: "front without a role", file: "settings-front.ini",
@@ -59,7 +59,7 @@
 		{
 			name: "after values of several lines", file: "settings-front.ini",
 			replacements: []string{"name = front-1", "name = `front\n[x]\nrole = 1`", "domain = a", "domain = a\\\nb = c \\\n d", "shards = 12", "shards = 0", "format = json", "format = \"\"\"a\nlevel = b\n\"\"\""},
-			want:         []string{"28 log format", "23 store shards"},
+			want:         []string{"29 log format", "23 store shards"},
 		},
 	}
 	for _, test := range tests {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -45,6 +45,8 @@
 	// StoreWriteRate is the number of writes per second that the store accepts from all
 	// instances together; 0 is unknown, and the front does not limit its own then.
 	StoreWriteRate float64
+	// MaxRecordBytes is the size of the longest record that the store's log takes; 0 is no limit.
+	MaxRecordBytes int
 	// MemoryMB is the memory that the process may use, in MiB; 0 sets no limit.
 	MemoryMB int64
 	// Processors is the number of processors that the instance may use, fractions too.
@@ -143,7 +145,7 @@
 	f.store = platform.NewStore(platform.StoreConfig{Address: c.StoreAddress, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
 	f.shardSet = turn.New(turn.Config{
 		WriterID: rand.Uint64(), ShardCount: c.Shards, Log: f.store.TurnLog(), Replicator: f.mesh, FindElsewhere: f.mesh.Find, FindInMemoryElsewhere: f.mesh.FindInMemory, Logger: c.Logger,
-		MinAppendInterval: minAppendInterval(c), Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, IsHome: f.mesh.IsHome, MaxStaleness: turn.DefaultMaxStaleness,
+		MinAppendInterval: minAppendInterval(c), Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, MaxRecordBytes: c.MaxRecordBytes, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, IsHome: f.mesh.IsHome, MaxStaleness: turn.DefaultMaxStaleness,
 	})
 	f.mesh.SetHandlers(f.shardSet, f.store)
 	f.endpointClient = platform.NewEndpointClient(f.registry)
@@ -226,6 +228,8 @@
 	DefaultGracePeriod = 8 * time.Second
 	// DefaultQuotaSpan is the default of FrontConfig.QuotaSpan.
 	DefaultQuotaSpan = 5 * time.Second
+	// DefaultRecordBytes is the default of FrontConfig.MaxRecordBytes in settings.
+	DefaultRecordBytes = 256 << 10
 	// DefaultShards is the default of FrontConfig.Shards in settings.
 	DefaultShards = 12
 )
--- a/turn/end.go
+++ b/turn/end.go
@@ -36,8 +36,11 @@
 	if p, ok := s.state.programs[r.Program]; ok {
 		end.Spent = p.spentTokens
 	}
-	op := &writeOp{record: &turnpb.Record{Body: &turnpb.Record_End{End: end}}}
-	s.submit(op)
+	var op *writeOp
+	for _, part := range splitTurn(end, set.config.MaxRecordBytes) {
+		op = &writeOp{record: &turnpb.Record{Body: &turnpb.Record_End{End: part}}}
+		s.submit(op)
+	}
 	s.mu.Unlock()
 	if r.Completed == nil {
 		return nil
--- a/turn/error.go
+++ b/turn/error.go
@@ -25,6 +25,8 @@
 	KindUnknown
 	// KindExpired means that the requested records have been deleted from the log.
 	KindExpired
+	// KindTooLong means that a record is longer than the log takes.
+	KindTooLong
 )
 
 // Error is an error with the operation that failed and its kind.
--- a/turn/shardset.go
+++ b/turn/shardset.go
@@ -47,6 +47,8 @@
 	// LogTimeout limits each append to the log, the wait for the reads before and after
 	// it, and each replication of records.
 	LogTimeout time.Duration
+	// MaxRecordBytes is the size of the longest record that the log takes; 0 is no limit.
+	MaxRecordBytes int
 	// ReadTimeout limits the read of one page of the log. A connection may be silent, so
 	// that only another read gets an answer.
 	ReadTimeout time.Duration
--- a/turn/shardset_test.go
+++ b/turn/shardset_test.go
@@ -40,6 +40,9 @@
 	})
 }
 
+// testRecordBytes is the size of the longest record of the tests.
+const testRecordBytes = 64 << 10
+
 // newShardSet returns the shard set of a new process, for a log of 4 shards. It finds
 // conversations of other shards by loading these shards itself.
 func (env *testEnv) newShardSet() *turn.ShardSet {
@@ -54,7 +57,7 @@
 	set = turn.New(turn.Config{
 		WriterID: env.lastWriterID, ShardCount: 4, Log: log, Replicator: replicator, Logger: zap.NewNop(),
 		Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter,
-		ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, MaxStaleness: turn.DefaultMaxStaleness, IsHome: func(int) bool { return true },
+		MaxRecordBytes: testRecordBytes, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, MaxStaleness: turn.DefaultMaxStaleness, IsHome: func(int) bool { return true },
 		FindElsewhere: func(ctx context.Context, turnID string, exceptShard int) ([]byte, bool, error) {
 			for shard := range 4 {
 				if shard == exceptShard {
--- a/turn/writeop.go
+++ b/turn/writeop.go
@@ -110,6 +110,12 @@
 			return
 		}
 		op.encoded = data
+		if limit := s.set.config.MaxRecordBytes; limit > 0 && len(data) > limit {
+			// The log would refuse it for ever, and all records after it.
+			close(op.logged)
+			op.resolve(Errorf("write record", KindTooLong, "record of %d bytes is longer than the %d bytes that the log takes", len(data), limit))
+			return
+		}
 	} else if op.record.GetWriter() == s.set.writerID {
 		op.appendNumber = op.record.GetAppend()
 	}
