Match a path with an encoded slash to the route of its segments as sent

Routes were matched with the decoded path, in which %2F separates segments. By RFC 3986 it is data of its segment. Now all but encoded slashes is decoded for matching; what the endpoint gets is as sent, as before.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -17,7 +17,8 @@
 	Host string
 	// Authority is the host as the caller sent it, with its port if any.
 	Authority string
-	// Path is the path without the query; routes match it.
+	// Path is the decoded path without the query, in which encoded slashes stay encoded; routes
+	// match it.
 	Path string
 	// Target is the request target: the path and query, as the caller sent them.
 	Target string
