Log version, revision and addresses at the start, and the cause of a stop

What could not be told: two processes were seen to end or not to start, without logs. Had there been logs, they would not have named the landing, the addresses that port 0 had become, nor whether SIGTERM, an interrupt or a listener ended the process: "front stops" says the same for each signal, and entry and endpoint processes logged no reason at all.

Change: "front starts", "entry process started" and "endpoint process started" have version, revision of the build and pid, that of a front its four addresses and the grace period as well; a line at the stop has `cause`, the signal as context.Cause gives it; the errors of listeners of entry and endpoint processes are logged, and the last line has them.

Evidence, by hand: SIGTERM to a front prints "front stops" with cause "terminated signal received" and exits with 0.

--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/lavendervale/lavendervale"
 	"github.com/lavendervale/lavendervale/adapter/caller"
 	"github.com/lavendervale/lavendervale/adapter/engine"
 	"github.com/lavendervale/lavendervale/adapter/peer"
@@ -168,7 +170,7 @@
 // Run serves until ctx ends or a listener fails, then refuses new calls and waits up to
 // Config.StopTimeout for those in progress.
 func (p *endpointProcess) Run(ctx context.Context) error {
-	p.config.Logger.Info("endpoint process started", zap.Stringer("role", p.config.Role), zap.Stringer("peers", p.peerListener.Addr()), zap.String("admin", p.adminServer.address()))
+	p.config.Logger.Info("endpoint process started", zap.String("version", lavendervale.Version), zap.String("revision", revision()), zap.Int("pid", os.Getpid()), zap.Stringer("role", p.config.Role), zap.Stringer("peers", p.peerListener.Addr()), zap.String("admin", p.adminServer.address()))
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
@@ -187,14 +189,16 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		p.config.Logger.Info("endpoint process stops", zap.NamedError("cause", context.Cause(ctx)))
 	case err = <-serveErrs:
+		p.config.Logger.Error("serving a listener of the endpoint process failed", zap.Error(err))
 	}
 	p.drain()
 	stopServing()
 	p.server.Wait()
 	p.close(cancel)
 	wg.Wait()
-	p.config.Logger.Info("endpoint process stopped")
+	p.config.Logger.Info("endpoint process stopped", zap.Error(err))
 	return err
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/lavendervale/lavendervale"
 	"github.com/lavendervale/lavendervale/adapter/caller"
 	"github.com/lavendervale/lavendervale/adapter/peer"
 	platformadapter "github.com/lavendervale/lavendervale/adapter/platform"
@@ -98,7 +100,7 @@
 // Run serves until ctx ends or a listener fails, then waits up to Config.StopTimeout for
 // the requests in progress.
 func (p *entryProcess) Run(ctx context.Context) error {
-	p.config.Logger.Info("entry process started", zap.String("callers", p.callerServer.address()), zap.String("admin", p.adminServer.address()))
+	p.config.Logger.Info("entry process started", zap.String("version", lavendervale.Version), zap.String("revision", revision()), zap.Int("pid", os.Getpid()), zap.String("callers", p.callerServer.address()), zap.String("admin", p.adminServer.address()))
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
@@ -109,14 +111,16 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		p.config.Logger.Info("entry process stops", zap.NamedError("cause", context.Cause(ctx)))
 	case err = <-serveErrs:
+		p.config.Logger.Error("serving a listener of the entry process failed", zap.Error(err))
 	}
 	p.stop()
 	cancel()
 	wg.Wait()
 	p.pool.Close()
 	p.platform.Close()
-	p.config.Logger.Info("entry process stopped")
+	p.config.Logger.Info("entry process stopped", zap.Error(err))
 	return err
 }
 
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/lavendervale/lavendervale"
 	"github.com/lavendervale/lavendervale/adapter/mesh"
 	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
@@ -185,9 +186,10 @@
 // progress. When a listener fails, Run stops without draining and returns its error.
 func (f *Front) Run(ctx context.Context) error {
 	c := f.config
-	c.Logger.Info("front starts", zap.String("domain", c.Domain), zap.String("callers", c.CallerAddress), zap.String("peers", c.PeerAddress),
+	c.Logger.Info("front starts", zap.String("version", lavendervale.Version), zap.String("revision", revision()), zap.String("domain", c.Domain),
+		zap.String("callers", f.CallerAddress()), zap.String("ready", f.ReadyAddress()), zap.String("peers", f.mesh.Address()), zap.String("metrics", c.MetricsAddress),
 		zap.String("store", c.StoreAddress), zap.Int("shards", c.Shards), zap.Int64("memory", c.MemoryMB), zap.Int("processors", runtime.GOMAXPROCS(0)),
-		zap.Uint64("incarnation", f.incarnation), zap.Int("pid", os.Getpid()))
+		zap.Duration("grace", c.GracePeriod), zap.Uint64("incarnation", f.incarnation), zap.Int("pid", os.Getpid()))
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
@@ -207,7 +209,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		f.drain()
+		f.drain(context.Cause(ctx))
 	case err = <-serveErrs:
 		c.Logger.Error("serving a listener of the front failed", zap.Error(err))
 		closeCtx, cancelClose := context.WithTimeout(context.Background(), f.exitReserve())
--- a/daemon/front_lifecycle.go
+++ b/daemon/front_lifecycle.go
@@ -135,19 +135,19 @@
 	return time.Duration(exitReserveRatio * float64(f.config.GracePeriod))
 }
 
-// drain makes the front report that it is not ready and gives up its shards, but keeps
+// drain logs why the front stops, makes it report that it is not ready and gives up its shards, but keeps
 // serving until minDrainTime has passed and no request is left, or until the grace
 // period without its reserve has passed; while the store is away, the others need the shards
 // that it holds. Then it closes the callers' connections and
 // waits until the pending records are in the log.
-func (f *Front) drain() {
+func (f *Front) drain(cause error) {
 	started := time.Now()
 	drainTime := f.config.GracePeriod - f.exitReserve()
 	f.gateway.Leave(started.Add(acceptAfterStop), started.Add(drainTime))
 	f.mu.Lock()
 	f.leaving = true
 	f.mu.Unlock()
-	f.config.Logger.Info("front stops", zap.Int64("active", f.ingress.ActiveRequests()))
+	f.config.Logger.Info("front stops", zap.NamedError("cause", cause), zap.Int64("active", f.ingress.ActiveRequests()))
 	f.mesh.Leave()
 	f.ingress.DisableKeepAlives()
 	unregisterCtx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -57,6 +58,21 @@
 // clock was set back.
 func newIncarnation() uint64 { return uint64(time.Now().UnixNano()) }
 
+// revision returns the commit that the program was built from, or "" when the build did not
+// record it.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return ""
+}
+
 // listen opens a TCP listener on each address; when one fails, none stays open.
 func listen(addresses ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
