Go on serving when the reader of the log has gone

Callers saw connections reset: a process of any role whose standard output is a pipe without a reader was ended by SIGPIPE at its next log line (wait status -13), without a line that says so.

Cause: Go raises SIGPIPE when a write to descriptor 1 or 2 fails with EPIPE, so that command-line tools end quietly. The writer of package logging never blocks the process, but it left this to the default.

Change: `lavendervaled run` ignores SIGPIPE; the write fails with EPIPE instead. The writer counts the lines of a failed write (before, a failed write counted as one), goes on trying, since a full disk may have room later, and says so once on standard error, through a writer that doesn't block either. Fronts have lavendervale_log_lines_dropped_total, the other roles log_lines_dropped. The servers for readiness and metrics and the standard logger no longer write to standard error directly, which blocks when nobody reads it. The commands check and dev and the tool lavendervale keep the usual end by SIGPIPE.

--- a/cmd/lavendervaled/dev.go
+++ b/cmd/lavendervaled/dev.go
@@ -58,7 +58,7 @@
 	}
 	cluster, err := dev.Start(dev.Config{
 		Configuration: string(configurationText), Engines: devEngines, Domains: devDomains,
-		Services: []string{"payment"}, Logger: logger,
+		Services: []string{"payment"}, Logger: logger.Logger,
 	})
 	if err != nil {
 		return cli.Exit(err, exitFailed)
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -34,6 +34,8 @@
 
 // runProcess runs a process until ctx is canceled. On SIGHUP it checks the settings file again.
 func runProcess(ctx context.Context, c *cli.Command) error {
+	// A write to standard output or error without a reader raises SIGPIPE, which would kill the process.
+	signal.Ignore(syscall.SIGPIPE)
 	hangups := make(chan os.Signal, 1)
 	// There is no signal.Stop: it would restore the default action, and a SIGHUP during the
 	// shutdown would kill the process.
@@ -46,12 +48,14 @@
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
 	}
-	go recheckSettings(ctx, hangups, c.String("settings"), settings, logger)
+	// Standard error blocks when its reader does not read.
+	zap.RedirectStdLog(logger.Logger)
+	go recheckSettings(ctx, hangups, c.String("settings"), settings, logger.Logger)
 	if settings.Front() != nil {
 		return runFront(ctx, *settings.Front(), logger)
 	}
 	config := settings.Daemon()
-	config.Logger = logger
+	config.Logger, config.DroppedLines = logger.Logger, logger.droppedLines
 	process, err := daemon.New(config)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
@@ -60,8 +64,8 @@
 }
 
 // runFront runs a front until ctx is canceled.
-func runFront(ctx context.Context, config daemon.FrontConfig, logger *zap.Logger) error {
-	config.Logger = logger
+func runFront(ctx context.Context, config daemon.FrontConfig, logger *processLog) error {
+	config.Logger, config.DroppedLines = logger.Logger, logger.droppedLines
 	defer func() { _ = logger.Sync() }()
 	front, err := daemon.NewFront(config)
 	if err != nil {
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -49,6 +49,8 @@
 	Parse configuration.Parser
 	// Logger receives what the process reports; nil discards it.
 	Logger *zap.Logger
+	// DroppedLines returns the number of lines that the log has lost; nil if that is not known.
+	DroppedLines func() int64
 }
 
 // EngineConfig describes a model engine.
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -117,7 +117,7 @@
 func (p *endpointProcess) adminHandler(operatorKeys *caller.Keyring) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(lavendervalev1connect.NewDumpServiceHandler(caller.NewDumpService(p.dump, operatorKeys)))
-	mux.Handle("GET /debug/vars", expvarHandler(p.metrics))
+	mux.Handle("GET /debug/vars", expvarHandler(p.metrics, p.config.DroppedLines))
 	return mux
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -88,7 +88,7 @@
 	options := connect.WithReadMaxBytes(maxRequestBytes)
 	mux.Handle(lavendervalev1connect.NewOperatorServiceHandler(caller.NewOperatorService(p.entry, p.configurations, operatorKeys), options))
 	mux.Handle(lavendervalev1connect.NewDumpServiceHandler(caller.NewDumpService(p.dump, operatorKeys), options))
-	mux.Handle("GET /debug/vars", expvarHandler(p.entry.Metrics))
+	mux.Handle("GET /debug/vars", expvarHandler(p.entry.Metrics, p.config.DroppedLines))
 	return mux
 }
 
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -59,6 +59,8 @@
 	QuotaSpan time.Duration
 	// Logger receives what the process reports; nil discards it.
 	Logger *zap.Logger
+	// DroppedLines returns the number of lines that the log has lost; nil if that is not known.
+	DroppedLines func() int64
 }
 
 const (
@@ -131,6 +133,11 @@
 	}
 	f.mesh.AwaitPeers()
 	f.initComponents()
+	if c.DroppedLines != nil {
+		f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "lavendervale_log_lines_dropped_total", Help: "Lines of the log that were dropped: above the rate limits, not read in time or not written.",
+		}, func() float64 { return float64(c.DroppedLines()) }))
+	}
 	return f, nil
 }
 
@@ -202,9 +209,9 @@
 	wg.Go(func() { f.register(workCtx) })
 	wg.Go(func() { f.start(workCtx) })
 	wg.Go(func() { serveErrs <- f.ingress.Serve() })
-	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), serveErrs)}
+	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), c.Logger, serveErrs)}
 	if metricsListener := f.listeners.metrics; metricsListener != nil {
-		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), serveErrs))
+		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), c.Logger, serveErrs))
 	}
 	var err error
 	select {
--- a/daemon/front_listeners.go
+++ b/daemon/front_listeners.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // readHeaderTimeout bounds the reading of the header of a request for readiness or
@@ -45,8 +47,8 @@
 
 // serveHTTP starts a server on a listener. When it fails, other than by being closed, the
 // error is sent to serveErrs.
-func serveHTTP(l net.Listener, h http.Handler, serveErrs chan<- error) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+func serveHTTP(l net.Listener, h http.Handler, log *zap.Logger, serveErrs chan<- error) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(log)}
 	go func() {
 		if err := s.Serve(l); err != http.ErrServerClosed {
 			serveErrs <- err
--- a/daemon/http_server.go
+++ b/daemon/http_server.go
@@ -54,10 +54,13 @@
 }
 
 // expvarHandler returns a handler that writes metrics as JSON in the format of package
-// expvar.
-func expvarHandler(metrics func() map[string]any) http.Handler {
+// expvar, with the number of log lines lost if droppedLines is not nil.
+func expvarHandler(metrics func() map[string]any, droppedLines func() int64) http.Handler {
 	vars := new(expvar.Map).Init()
 	vars.Set("lavendervale", expvar.Func(func() any { return metrics() }))
+	if droppedLines != nil {
+		vars.Set("log_lines_dropped", expvar.Func(func() any { return droppedLines() }))
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		_, _ = w.Write([]byte(vars.String()))
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,6 +45,21 @@
 	close(out.release)
 }
 
+// failingWriter writes the first bytes and fails at the rest of each write.
+type failingWriter struct {
+	first int
+}
+
+func (w failingWriter) Write([]byte) (int, error) { return w.first, io.ErrClosedPipe }
+
+func TestLinesOfFailedWritesAreCounted(t *testing.T) {
+	w := logging.NewWriter(failingWriter{first: len("first\nsec")})
+	_, err := w.Write([]byte("first\nsecond\nthird\n"))
+	require.NoError(t, err)
+	require.ErrorIs(t, <-w.Failures(), io.ErrClosedPipe)
+	require.EqualValues(t, 2, w.Dropped())
+}
+
 // Successful requests must not use up the limit of refused ones, whose lines explain
 // failures.
 func TestAnsweredRequestsDoNotUseUpOtherLogLimit(t *testing.T) {
--- a/logging/writer.go
+++ b/logging/writer.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -28,11 +29,13 @@
 	dropped atomic.Int64
 	// writing is set while a write to out is in progress.
 	writing bool
+	// failures has capacity 1 and receives the error of a failed write that follows a successful one.
+	failures chan error
 }
 
 // NewWriter returns a writer to out. It starts a goroutine that is never stopped.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, wake: make(chan struct{}, 1)}
+	w := &Writer{out: out, wake: make(chan struct{}, 1), failures: make(chan error, 1)}
 	go w.run()
 	return w
 }
@@ -54,10 +57,13 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped so far, where a failed write to out,
-// which may hold several lines, counts as one.
+// Dropped returns the number of lines dropped so far, those of failed writes to out included.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
+// Failures returns a channel that receives the error of the first of consecutive failed writes
+// to out.
+func (w *Writer) Failures() <-chan error { return w.failures }
+
 // Sync waits until all lines have been written, for at most 200 ms. It returns no error,
 // even when lines are left.
 func (w *Writer) Sync() error {
@@ -74,17 +80,27 @@
 	return nil
 }
 
-// run writes the waiting lines, one write per flush interval.
+// run writes the waiting lines, one write per flush interval. A failed write is not repeated, but
+// later ones are tried: out may be a file on a disk that was full.
 func (w *Writer) run() {
+	failing := false
 	for range w.wake {
 		time.Sleep(flushInterval)
 		w.mu.Lock()
 		lines := w.waiting
 		w.waiting, w.writing = nil, true
 		w.mu.Unlock()
-		if _, err := w.out.Write(lines); err != nil {
-			w.dropped.Add(1)
+		n, err := w.out.Write(lines)
+		if err != nil {
+			w.dropped.Add(int64(bytes.Count(lines[n:], []byte("\n"))))
+			if !failing {
+				select {
+				case w.failures <- err:
+				default:
+				}
+			}
 		}
+		failing = err != nil
 		w.mu.Lock()
 		w.writing = false
 		w.mu.Unlock()
