Handle signals before the other packages are initialized

Callers saw nothing but a process that was gone: SIGHUP or SIGTERM in the first milliseconds ended a process of any role by the default action, SIGHUP although it only asks to read the settings again.

Cause: the handlers were installed in main (SIGHUP only after the command line was parsed), after the initialization of some 130 packages. Change: package signals installs them from its variables. It needs os/signal only, so Go initializes it right after that one, as the 23rd of 134 packages; a value waits in its channels until main asks. A process that was stopped before its start logs "process stops before its start" with the cause and exits with 0. The command dev, which SIGHUP used to end, ends orderly at it.

What is left to chance is the time in the kernel's exec, the dynamic loader and the Go runtime.

--- a/cmd/lavendervaled/dev.go
+++ b/cmd/lavendervaled/dev.go
@@ -13,6 +13,7 @@
 	"github.com/lavendervale/lavendervale/dev"
 	"github.com/lavendervale/lavendervale/examples"
 	"github.com/lavendervale/lavendervale/script"
+	"github.com/lavendervale/lavendervale/signals"
 )
 
 const (
@@ -79,7 +80,10 @@
 		return err
 	}
 	printClusterInfo(os.Stdout, cluster)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-signals.Hangups():
+	}
 	return nil
 }
 
--- a/cmd/lavendervaled/life_test.go
+++ b/cmd/lavendervaled/life_test.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// Package signals needs os/signal, so no place is earlier than the one right after it.
+func TestSignalsAreHandledBeforeOtherPackagesAreInitialized(t *testing.T) {
+	c := startChild(t, filepath.Join(t.TempDir(), "none"), "GODEBUG=inittrace=1")
+	c.await(t, c.stderr, "init os/signal ")
+	require.True(t, c.stderr.lines.Scan())
+	require.Contains(t, c.stderr.lines.Text(), "init github.com/lavendervale/lavendervale/signals ")
+}
+
 func TestStartWaitsUntilAddressIsFree(t *testing.T) {
 	tests := []struct {
 		role, key, network string
--- a/cmd/lavendervaled/main.go
+++ b/cmd/lavendervaled/main.go
@@ -7,10 +7,10 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/lavendervale/lavendervale/signals"
 )
 
 const (
@@ -21,10 +21,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args)
-	stop()
-	os.Exit(code)
+	os.Exit(run(signals.Stopped(), os.Args))
 }
 
 // run executes a command line and returns its exit code.
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/daemon"
+	"github.com/lavendervale/lavendervale/signals"
 )
 
 // settingsPathEnv is the environment variable in which the platform passes the path of the
@@ -36,10 +37,6 @@
 func runProcess(ctx context.Context, c *cli.Command) error {
 	// A write to standard output or error without a reader raises SIGPIPE, which would kill the process.
 	signal.Ignore(syscall.SIGPIPE)
-	hangups := make(chan os.Signal, 1)
-	// There is no signal.Stop: it would restore the default action, and a SIGHUP during the
-	// shutdown would kill the process.
-	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := inifile.ReadSettingsFile(c.String("settings"))
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
@@ -50,7 +47,11 @@
 	}
 	// Standard error blocks when its reader does not read.
 	zap.RedirectStdLog(logger.Logger)
-	go recheckSettings(ctx, hangups, c.String("settings"), settings, logger.Logger)
+	go recheckSettings(ctx, signals.Hangups(), c.String("settings"), settings, logger.Logger)
+	if ctx.Err() != nil {
+		logger.Info("process stops before its start", zap.NamedError("cause", context.Cause(ctx)))
+		return logger.Sync()
+	}
 	if settings.Front() != nil {
 		return runFront(ctx, *settings.Front(), logger)
 	}
--- a/cmd/lavendervaled/run_test.go
+++ b/cmd/lavendervaled/run_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/examples"
+	"github.com/lavendervale/lavendervale/signals"
 )
 
 // anyPort matches the listeners in the example files.
@@ -32,6 +33,10 @@
 		os.Args = []string{"lavendervaled", "run", "--settings", path}
 		main()
 	}
+	go func() {
+		<-signals.Stopped().Done()
+		os.Exit(1)
+	}()
 	os.Exit(m.Run())
 }
 
