--- a/cmd/lavendervaled/dev.go
+++ b/cmd/lavendervaled/dev.go
@@ -13,6 +13,7 @@
 	"github.com/lavendervale/lavendervale/dev"
 	"github.com/lavendervale/lavendervale/examples"
 	"github.com/lavendervale/lavendervale/script"
+	"github.com/lavendervale/lavendervale/signals"
 )
 
 const (
@@ -58,7 +59,7 @@
 	}
 	cluster, err := dev.Start(dev.Config{
 		Configuration: string(configurationText), Engines: devEngines, Domains: devDomains,
-		Services: []string{"payment"}, Logger: logger,
+		Services: []string{"payment"}, Logger: logger.Logger,
 	})
 	if err != nil {
 		return cli.Exit(err, exitFailed)
@@ -79,7 +80,10 @@
 		return err
 	}
 	printClusterInfo(os.Stdout, cluster)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-signals.Hangups():
+	}
 	return nil
 }
 
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/daemon"
+	"github.com/lavendervale/lavendervale/signals"
 )
 
 // settingsPathEnv is the environment variable in which the platform passes the path of the
@@ -34,10 +35,8 @@
 
 // runProcess runs a process until ctx is canceled. On SIGHUP it checks the settings file again.
 func runProcess(ctx context.Context, c *cli.Command) error {
-	hangups := make(chan os.Signal, 1)
-	// There is no signal.Stop: it would restore the default action, and a SIGHUP during the
-	// shutdown would kill the process.
-	signal.Notify(hangups, syscall.SIGHUP)
+	// A write to standard output or error without a reader raises SIGPIPE, which would kill the process.
+	signal.Ignore(syscall.SIGPIPE)
 	settings, err := inifile.ReadSettingsFile(c.String("settings"))
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
@@ -46,12 +45,18 @@
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
 	}
-	go recheckSettings(ctx, hangups, c.String("settings"), settings, logger)
+	// Standard error blocks when its reader does not read.
+	zap.RedirectStdLog(logger.Logger)
+	go recheckSettings(ctx, signals.Hangups(), c.String("settings"), settings, logger.Logger)
+	if ctx.Err() != nil {
+		logger.Info("process stops before its start", zap.NamedError("cause", context.Cause(ctx)))
+		return logger.Sync()
+	}
 	if settings.Front() != nil {
 		return runFront(ctx, *settings.Front(), logger)
 	}
 	config := settings.Daemon()
-	config.Logger = logger
+	config.Logger, config.DroppedLines = logger.Logger, logger.droppedLines
 	process, err := daemon.New(config)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
@@ -60,8 +65,8 @@
 }
 
 // runFront runs a front until ctx is canceled.
-func runFront(ctx context.Context, config daemon.FrontConfig, logger *zap.Logger) error {
-	config.Logger = logger
+func runFront(ctx context.Context, config daemon.FrontConfig, logger *processLog) error {
+	config.Logger, config.DroppedLines = logger.Logger, logger.droppedLines
 	defer func() { _ = logger.Sync() }()
 	front, err := daemon.NewFront(config)
 	if err != nil {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/lavendervale/lavendervale"
 	"github.com/lavendervale/lavendervale/adapter/mesh"
 	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
@@ -58,6 +59,8 @@
 	QuotaSpan time.Duration
 	// Logger receives what the process reports; nil discards it.
 	Logger *zap.Logger
+	// DroppedLines returns the number of lines that the log has lost; nil if that is not known.
+	DroppedLines func() int64
 }
 
 const (
@@ -130,6 +133,11 @@
 	}
 	f.mesh.AwaitPeers()
 	f.initComponents()
+	if c.DroppedLines != nil {
+		f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "lavendervale_log_lines_dropped_total", Help: "Lines of the log that were dropped: above the rate limits, not read in time or not written.",
+		}, func() float64 { return float64(c.DroppedLines()) }))
+	}
 	return f, nil
 }
 
@@ -185,9 +193,10 @@
 // progress. When a listener fails, Run stops without draining and returns its error.
 func (f *Front) Run(ctx context.Context) error {
 	c := f.config
-	c.Logger.Info("front starts", zap.String("domain", c.Domain), zap.String("callers", c.CallerAddress), zap.String("peers", c.PeerAddress),
+	c.Logger.Info("front starts", zap.String("version", lavendervale.Version), zap.String("revision", revision()), zap.String("domain", c.Domain),
+		zap.String("callers", f.CallerAddress()), zap.String("ready", f.ReadyAddress()), zap.String("peers", f.mesh.Address()), zap.String("metrics", c.MetricsAddress),
 		zap.String("store", c.StoreAddress), zap.Int("shards", c.Shards), zap.Int64("memory", c.MemoryMB), zap.Int("processors", runtime.GOMAXPROCS(0)),
-		zap.Uint64("incarnation", f.incarnation), zap.Int("pid", os.Getpid()))
+		zap.Duration("grace", c.GracePeriod), zap.Uint64("incarnation", f.incarnation), zap.Int("pid", os.Getpid()))
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
@@ -200,14 +209,14 @@
 	wg.Go(func() { f.register(workCtx) })
 	wg.Go(func() { f.start(workCtx) })
 	wg.Go(func() { serveErrs <- f.ingress.Serve() })
-	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), serveErrs)}
+	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), c.Logger, serveErrs)}
 	if metricsListener := f.listeners.metrics; metricsListener != nil {
-		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), serveErrs))
+		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), c.Logger, serveErrs))
 	}
 	var err error
 	select {
 	case <-ctx.Done():
-		f.drain()
+		f.drain(context.Cause(ctx))
 	case err = <-serveErrs:
 		c.Logger.Error("serving a listener of the front failed", zap.Error(err))
 		closeCtx, cancelClose := context.WithTimeout(context.Background(), f.exitReserve())
