Log which incarnation of an endpoint was believed to serve a request

The lines of such a stream name the endpoint and the version of its entry, which is the one that was believed, but nothing that tells one incarnation from the next: a reader can't see which entry the front went by.

Tests of gateway, platform and cmd pass.

--- a/gateway/endpoint_result.go
+++ b/gateway/endpoint_result.go
@@ -28,7 +28,8 @@
 		go c.recordCrashIfDown(c.target, now)
 	}
 	c.Logger.Warn("endpoint failed", zap.String("request", c.request.ID), zap.String("endpoint", c.target.ID()),
-		zap.String("address", c.target.Address()), zap.String("version", c.target.Registration().Version), zap.Int("events", c.eventCount), zap.Error(err))
+		zap.String("address", c.target.Address()), zap.String("version", c.target.Registration().Version),
+		zap.Int64("started", c.target.Registration().StartedUnixMS), zap.Int("events", c.eventCount), zap.Error(err))
 }
 
 // recordLimit reports the rate limit that an endpoint named in a response to the directory,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -293,7 +293,7 @@
 	if !c.target.Zero() {
 		fields = append(fields, zap.String("endpoint", c.target.ID()))
 		if v := c.target.Registration().Version; v != "" {
-			fields = append(fields, zap.String("version", v))
+			fields = append(fields, zap.String("version", v), zap.Int64("started", c.target.Registration().StartedUnixMS))
 		}
 	}
 	if r.LastEventID != "" {
