Resume streams only where the version of the process is confirmed

Callers got streams joined from two software versions (ORDER) when an endpoint crashed and started again under its id and address with another version. Cause: the version was taken from the endpoint's entry, and the one who answered was not known to be the process of that entry; until the new entry was read, a stream was resumed there as if it were of the old version, and one that began there was recorded as of the old version and resumed elsewhere.

A connection stays with the process that accepted it, and an endpoint registers when it starts. So a version now counts as confirmed for a connection once a complete read of the entries that began after it was opened still shows that version (endpoint.Directory.VersionConfirmed), with no other in between; it stays so for the connection's life. Resumed streams are sent on such connections only: the front asks for an early read of the entries (shared, at most ten a second, not awaited while the store can't be read), then tries another endpoint or refuses the request as not run. A stream whose version is not known needs a later read that shows only one version of the service. Streams that begin are sent at once; their origin names no version until it is confirmed. Reads during an outage of the store and for 2.2 s after it confirm nothing. An endpoint that restarts with its version unchanged needs nothing new.

A lookup of an origin goes on behind one without a version, as a later one may name it. The metric lavendervale_unconfirmed_versions_total and two log lines tell how often a version was not confirmed.

--- a/adapter/mesh/origins.go
+++ b/adapter/mesh/origins.go
@@ -72,10 +72,12 @@
 }
 
 // FindOrigin returns the origin of the stream that an attempt began, from this front or those
-// that remember it, or false if none of them does. The error is of a front that did not answer.
+// that remember it, or false if none of them does. After one without a version it looks for a later
+// one. The error is of a front that did not answer.
 func (m *Mesh) FindOrigin(ctx context.Context, attempt string) (origin.Origin, bool, error) {
-	if o, ok := m.origins.Find(attempt); ok {
-		return o, true, nil
+	best, ok := m.origins.Find(attempt)
+	if best.Version != "" {
+		return best, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -91,22 +93,25 @@
 			results <- result{reply: reply, err: err}
 		}()
 	}
-	if len(targets) == 0 {
+	if len(targets) == 0 && !ok {
 		return origin.Origin{}, false, Errorf("find origin", KindUnreachable, "no other front is known")
 	}
 	var lastErr error
 	for range targets {
 		select {
 		case r := <-results:
-			if found := r.reply.GetOrigin(); found != nil {
-				return originFromProto(found), true, nil
+			if found := r.reply.GetOrigin(); found != nil && (!ok || found.GetSequence() > best.Sequence) {
+				best, ok = originFromProto(found), true
+			}
+			if best.Version != "" {
+				return best, true, nil
 			}
 			lastErr = cmp.Or(r.err, lastErr)
 		case <-ctx.Done():
-			return origin.Origin{}, false, Errorf("find origin", KindUnreachable, "not all fronts answered: %w", ctx.Err())
+			return best, ok, Errorf("find origin", KindUnreachable, "not all fronts answered: %w", ctx.Err())
 		}
 	}
-	return origin.Origin{}, false, lastErr
+	return best, ok, lastErr
 }
 
 // handleFindOrigin replies with an origin, or Done if this front does not know it.
--- a/adapter/mesh/origins_test.go
+++ b/adapter/mesh/origins_test.go
@@ -90,6 +90,30 @@
 	require.True(t, ok)
 }
 
+// TestLaterOriginIsFoundBehindOneWithoutAVersion guards against streams that can't be resumed where the
+// version that began them was not confirmed at first, and against an earlier version in its place.
+func TestLaterOriginIsFoundBehindOneWithoutAVersion(t *testing.T) {
+	fronts, _ := fleet(t, 4)
+	unconfirmed := origin.Origin{Attempt: "a", Service: "s", Sequence: 2}
+	fronts[0].origins.Put(unconfirmed, time.Now())
+	for _, front := range fronts[1:] {
+		front.origins.Put(survey("a"), time.Now())
+	}
+	found, ok, err := fronts[0].FindOrigin(t.Context(), "a")
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, unconfirmed, found, "an earlier origin does not hold")
+	confirmed := survey("a")
+	confirmed.Sequence = 3
+	for _, front := range fronts[1:] {
+		front.origins.Put(confirmed, time.Now())
+	}
+	found, ok, err = fronts[0].FindOrigin(t.Context(), "a")
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, confirmed, found)
+}
+
 // TestSearchOfAnOriginTellsWhoDidNotAnswer checks that an unknown origin is told from one that a
 // silent front may know.
 func TestSearchOfAnOriginTellsWhoDidNotAnswer(t *testing.T) {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -152,7 +152,7 @@
 	f.storeWatch = platform.NewWatcher(platform.WatcherConfig{Store: f.store, Routes: f.routes, Directory: f.directory, AddPeer: f.mesh.AddFront, Logger: c.Logger})
 	f.versionHistory = platform.NewVersionHistory(platform.VersionHistoryConfig{Store: f.store, Directory: f.directory, IsRecorder: f.mesh.IsRecorder, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
-		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient,
+		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
 		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
--- a/daemon/front_reborn_test.go
+++ b/daemon/front_reborn_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavendervale/lavendervale/standin/store"
 	"github.com/lavendervale/lavendervale/standin/worker"
 )
 
@@ -127,3 +128,53 @@
 		})
 	}
 }
+
+// TestStreamIsResumedInAnOutageOnlyOnAKnownConnection guards against a stream that is resumed at an
+// endpoint which started again while the store can't tell of it, and against refusing all others.
+func TestStreamIsResumedInAnOutageOnlyOnAKnownConnection(t *testing.T) {
+	tests := []struct {
+		name     string
+		restarts bool
+		status   int
+	}{
+		{name: "same process", status: http.StatusOK},
+		{name: "started again", restarts: true, status: http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newPlatformSite(t)
+			s.maxAttempts = 1
+			s.configure()
+			s.store.Put("keyed.servers", "engine-1", nil)
+			s.store.Put("keyed.servers", "engine-2", nil)
+			first, second := s.startRebornEngine("first", 1000), s.startRebornEngine("second", 1000)
+			f := s.startFront()
+			resume := func(id, resumes string) (int, string) {
+				status, _, body, err := f.send(t, http.MethodPost, "/survey/1", id, "x", "Last-Event-Id", "1", "Resumes", resumes)
+				require.NoError(t, err)
+				return status, body
+			}
+			second.SetBehavior(worker.Overloaded)
+			status, body := resume("other", "never")
+			require.Equal(t, http.StatusOK, status, body)
+			first.SetBehavior(worker.TruncatedResponse)
+			_, _, _, err := f.send(t, http.MethodPost, "/survey/1", "begin", "x")
+			require.Error(t, err, "the endpoint breaks off")
+			first.SetBehavior(worker.Overloaded)
+			second.SetBehavior(worker.Healthy)
+			status, body = resume("again", "begin")
+			require.Equal(t, http.StatusOK, status, body)
+			s.store.SetFault(store.Unavailable)
+			if test.restarts {
+				second.restart("v2")
+			}
+			ran := len(second.Executions())
+			status, body = resume("in-outage", "begin")
+			require.Equal(t, test.status, status, body)
+			if test.restarts {
+				require.Len(t, second.Executions(), ran, "the request has not run")
+			}
+		})
+	}
+}
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -36,6 +36,8 @@
 	// removalsFinalUntil is when the store last answered outside of an outage and of
 	// storeReturnGrace after it. An endpoint whose registration was missing by then is gone.
 	removalsFinalUntil time.Time
+	// readAt is when the latest complete read of the registrations began, see ReadComplete.
+	readAt time.Time
 	// versions holds the software versions of all endpoints.
 	versions versionTable
 	// historyAwaited is set until the version history has been read.
@@ -74,6 +76,7 @@
 	if ok && old.registration.StartedUnixMS == r.StartedUnixMS && old.registration.Version == r.Version && old.registration.Address == r.Address && old.registration.Service == r.Service {
 		changed := old.state != r.State || !old.missingSince.IsZero()
 		old.registration, old.state, old.missingSince = r, r.State, time.Time{}
+		old.tenure.frozen = false
 		if r.ColdFor > 0 {
 			old.coldUntil = now.Add(r.ColdFor)
 		}
@@ -82,10 +85,11 @@
 		}
 		return changed
 	}
+	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State, addedAt: now, tenure: &tenure{since: now}}
 	if ok {
+		added.tenure = d.succeed(old, r, now)
 		d.drop(old, now)
 	}
-	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State, addedAt: now}
 	if r.ColdFor > 0 {
 		added.coldUntil = now.Add(r.ColdFor)
 	}
@@ -109,6 +113,7 @@
 		return false
 	}
 	e.missingSince = now
+	e.tenure.freeze(d.readAt)
 	return true
 }
 
@@ -119,6 +124,7 @@
 	for id, e := range d.byID {
 		if !keep[id] && e.missingSince.IsZero() {
 			e.missingSince = now
+			e.tenure.freeze(d.readAt)
 		}
 	}
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -51,6 +51,8 @@
 	leaving bool
 	// addedAt is when this instance first saw the registration of the incarnation.
 	addedAt time.Time
+	// tenure is shared by successive incarnations that differ in nothing but their start.
+	tenure *tenure
 	// missingSince is when the registration went missing, or zero while it is present.
 	missingSince time.Time
 	// localRunning is the number of requests of this instance at the endpoint.
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -72,9 +72,10 @@
 }
 
 // sendHead sends the head of the stream before the first event, after waiting until the
-// attempt of the turn is recorded.
+// attempt of the turn and the origin of the stream are recorded.
 func (s *streaming) sendHead(ctx context.Context, response Response) error {
 	if s.headSent {
+		s.pinIfConfirmed(ctx)
 		return nil
 	}
 	s.possiblyRan = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	Queue *dispatch.Queue
 	// Transport sends requests to endpoints.
 	Transport Transport
+	// Registrations reads the registrations of endpoints when a stream can't wait for it.
+	Registrations RegistrationReader
 	// TurnTracker admits and records turns.
 	TurnTracker TurnTracker
 	// Origins remembers the versions that began streams.
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -32,6 +32,12 @@
 	// FreshConnection asks for a new or very recently used connection. An idle one may have
 	// been closed by the endpoint, which loses a request that must not be repeated.
 	FreshConnection bool
+	// OpenedAfter is set if only connections that were opened later may carry the request.
+	OpenedAfter time.Time
+	// Admit is called before the request is sent, with the time when its connection was opened. An
+	// error keeps it from being sent, and is returned by Send. It may be called for several
+	// connections in turn. Nil admits all.
+	Admit func(ctx context.Context, openedAt time.Time) error
 	// OnLeaving is called when a response of the endpoint says that it leaves, before Send or
 	// a method of the response returns. The response may be invalid or one to an earlier request.
 	OnLeaving func()
@@ -86,6 +92,13 @@
 	Empty bool
 }
 
+// RegistrationReader reads the registrations of endpoints into the directory.
+type RegistrationReader interface {
+	// ReadRegistrations returns at the end of a read that begins after the call, when ctx ends, or
+	// at once while they can't be read.
+	ReadRegistrations(ctx context.Context)
+}
+
 // TurnTracker admits turns against the budget of their program and records how they end.
 type TurnTracker interface {
 	// Begin admits an attempt of a turn. Errors of turn.KindBudget and turn.KindNotFound
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,9 @@
 	permits        *prometheus.CounterVec
 	// leavingResponses counts responses of endpoints that say they leave.
 	leavingResponses prometheus.Counter
+	// unconfirmed counts streams at endpoints whose version was not confirmed: begun there, or not
+	// resumed there.
+	unconfirmed *prometheus.CounterVec
 }
 
 // latencyBuckets are the histogram bounds in seconds, from 2 ms to about 4 s.
@@ -52,7 +55,10 @@
 	m.leavingResponses = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "lavendervale_leaving_responses_total", Help: "Responses of endpoints that say they leave.",
 	})
-	r.MustRegister(m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
+	m.unconfirmed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavendervale_unconfirmed_versions_total", Help: "Streams begun, or not resumed, at an endpoint of which it was not confirmed that it still has the version of its entry.",
+	}, []string{"stream"})
+	r.MustRegister(m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
 	return m
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,7 +41,7 @@
 		return
 	}
 	c.holder = admission.Endpoint()
-	s := &streaming{call: c, admission: admission, responder: w, lastEventID: c.request.LastEventID, version: version}
+	s := &streaming{call: c, admission: admission, responder: w, lastEventID: c.request.LastEventID, version: version, resumedAt: time.Now()}
 	complete := s.run(ctx)
 	c.endTurn(s, complete)
 }
@@ -53,12 +53,18 @@
 	responder Responder
 	// lastEventID is the identifier of the last event that the caller has received.
 	lastEventID string
-	// version is the software version that began the stream, or empty while any may.
+	// version is the software version that began the stream, or empty while it is not known.
 	version string
-	// originSequence numbers the origins that were recorded for the stream.
+	// resumedAt is when the part of the stream that the caller has had been received.
+	resumedAt time.Time
+	// openedAt is when the connection of the latest attempt was opened.
+	openedAt time.Time
+	// confirmReads counts the reads of the registrations that attempts to resume the stream waited for.
+	confirmReads int
+	// originSequence numbers the origins that were recorded for the stream, and origin is the
+	// latest one, or nil.
 	originSequence uint32
-	// originRecorded is closed when the latest one has been recorded, or nil if none is.
-	originRecorded chan struct{}
+	origin         *originRecord
 	// headSent is set once the caller has received the head of the stream.
 	headSent bool
 	// text is what the turn adds to the conversation: the request body, then the data of each event
@@ -82,7 +88,7 @@
 			s.Directory.RecordSuccess(s.target, time.Now())
 			s.CrashTracker.RecordCompletion(s.identity)
 			return true
-		case errors.Is(err, errNotRun):
+		case errors.Is(err, errNotRun), errors.Is(err, errUnconfirmed):
 			s.excludeTarget()
 			continue
 		case errors.Is(err, errResponded):
@@ -104,7 +110,7 @@
 			continue
 		}
 		s.possiblyRan = true
-		if ctx.Err() != nil || !s.canResume() || !s.repeatWithinQuota(ctx) {
+		if ctx.Err() != nil || !s.canResume() || !s.canJoin(ctx) || !s.repeatWithinQuota(ctx) {
 			s.fail(ctx, err)
 			return false
 		}
@@ -144,10 +150,10 @@
 // It returns nil after the last event of a complete stream.
 func (s *streaming) attempt(ctx context.Context) error {
 	s.attempts++
-	s.recordOrigin(ctx)
+	openedAfter, admit := s.connectionRules()
 	response, err := s.Transport.Send(ctx, s.target, EndpointRequest{
 		Request: s.request, Context: s.admission.Text(), Deadline: s.deadline, Priority: s.enginePriority(), LastEventID: s.lastEventID, Customer: s.customer.Name,
-		OnLeaving: s.leavingRecorder(s.target),
+		OpenedAfter: openedAfter, Admit: admit, OnLeaving: s.leavingRecorder(s.target),
 	})
 	if err != nil {
 		if notRun(err) {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -62,6 +62,11 @@
 	return gateway.Event{ID: id, Data: []byte("a"), Raw: fmt.Appendf(nil, "id: %s\ndata: a\n\n", id)}, nil
 }
 
+// noRegistrations never reads registrations.
+type noRegistrations struct{}
+
+func (noRegistrations) ReadRegistrations(context.Context) {}
+
 // noOrigins is a gateway.OriginTracker that knows none.
 type noOrigins struct{}
 
@@ -145,7 +150,7 @@
 	}
 	limiter := memory.New(memory.Config{CapacityBytes: bufferBytes})
 	return gateway.New(gateway.Config{
-		Routes: routes, Directory: directory, Queue: dispatch.New(directory), Transport: transport, TurnTracker: turns, Origins: noOrigins{}, CrashTracker: noCrashes{},
+		Routes: routes, Directory: directory, Queue: dispatch.New(directory), Transport: transport, Registrations: noRegistrations{}, TurnTracker: turns, Origins: noOrigins{}, CrashTracker: noCrashes{},
 		Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(),
 	}), limiter
 }
--- a/origin/store.go
+++ b/origin/store.go
@@ -21,7 +21,7 @@
 	Attempt string
 	// Service is the name of the endpoint's service.
 	Service string
-	// Version is the version of the endpoint's software.
+	// Version is the version of the endpoint's software, or empty if it was not confirmed.
 	Version string
 	// Sequence numbers the origins of an attempt that was sent to several endpoints; the
 	// highest one holds.
