--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	Queue *dispatch.Queue
 	// Transport sends requests to endpoints.
 	Transport Transport
+	// Registrations reads the registrations of endpoints when a stream can't wait for it.
+	Registrations RegistrationReader
 	// TurnTracker admits and records turns.
 	TurnTracker TurnTracker
 	// Origins remembers the versions that began streams.
@@ -293,7 +295,7 @@
 	if !c.target.Zero() {
 		fields = append(fields, zap.String("endpoint", c.target.ID()))
 		if v := c.target.Registration().Version; v != "" {
-			fields = append(fields, zap.String("version", v))
+			fields = append(fields, zap.String("version", v), zap.Int64("started", c.target.Registration().StartedUnixMS))
 		}
 	}
 	if r.LastEventID != "" {
