Show a stream taken up at the version of an earlier attempt

A stream's first attempt goes to an endpoint of one version, which says after a while that it did not run it; the second attempt at another version brings the events. A front that was suspended meanwhile has the origin of the first attempt only, and once the front that served the stream is lost, a caller that takes the stream up there gets pieces of both versions: ORDER. The test fails in its three rows; listed.

--- a/adapter/mesh/origins_test.go
+++ b/adapter/mesh/origins_test.go
@@ -114,6 +114,38 @@
 	require.Equal(t, confirmed, found)
 }
 
+// TestEarlierOriginOfAFrontThatWasSuspendedDoesNotHold guards against streams joined from two versions
+// where a front has missed the copy of the latest origin.
+func TestEarlierOriginOfAFrontThatWasSuspendedDoesNotHold(t *testing.T) {
+	earlier, latest := survey("a"), survey("a")
+	latest.Version, latest.Sequence = "v1.2", 2
+	tests := []struct {
+		name string
+		// held is what each front holds.
+		held [4]origin.Origin
+	}{
+		{name: "at the front that is asked", held: [4]origin.Origin{earlier, latest, latest}},
+		{name: "at one of the others", held: [4]origin.Origin{{}, earlier, latest, latest}},
+		{name: "at both", held: [4]origin.Origin{earlier, earlier, {}, latest}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for range 10 {
+				fronts, _ := fleet(t, len(test.held))
+				for i, o := range test.held {
+					if o.Sequence > 0 {
+						fronts[i].origins.Put(o, time.Now())
+					}
+				}
+				found, ok, err := fronts[0].FindOrigin(t.Context(), "a")
+				require.NoError(t, err)
+				require.True(t, ok)
+				require.Equal(t, latest, found)
+			}
+		})
+	}
+}
+
 // TestSearchOfAnOriginTellsWhoDidNotAnswer checks that an unknown origin is told from one that a
 // silent front may know.
 func TestSearchOfAnOriginTellsWhoDidNotAnswer(t *testing.T) {
