Take the latest of the origins that other fronts know of a stream

Callers got streams joined from two versions (ORDER): a front that was suspended while the origin of a stream's second attempt was copied trusted the one of the first attempt, and the first reply of another front was taken whatever its sequence. The class: a copy that may have missed a change is taken for the current state. Now only the front that served the stream trusts its own origin; others ask the first six fronts of the order and take the highest sequence of all that reply in 0.2 s. Two of the three holders have the latest origin before the first event leaves, so one that missed it is outvoted by any other that is reached. If both others are lost as well, the earlier one still holds: open.

--- a/adapter/mesh/origins.go
+++ b/adapter/mesh/origins.go
@@ -29,6 +29,7 @@
 // minOriginCopies other fronts remember it too, or all have answered or not answered in time;
 // earlier origins of the service that were recorded without copies are copied as well.
 func (m *Mesh) RecordOrigin(ctx context.Context, o origin.Origin, copied bool) {
+	o.Served = true
 	if !copied {
 		m.origins.PutUncopied(o, time.Now())
 		return
@@ -71,12 +72,12 @@
 	return replies
 }
 
-// FindOrigin returns the origin of the stream that an attempt began, from this front or those
-// that remember it, or false if none of them does. After one without a version it looks for a later
-// one. The error is of a front that did not answer.
+// FindOrigin returns the origin of the stream that an attempt began, or false if neither this front
+// nor those that remember it know one. Of several the latest holds: a front that was suspended may have
+// missed it. The error is of a front that did not answer.
 func (m *Mesh) FindOrigin(ctx context.Context, attempt string) (origin.Origin, bool, error) {
 	best, ok := m.origins.Find(attempt)
-	if best.Version != "" {
+	if best.Served && best.Version != "" {
 		return best, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
@@ -103,9 +104,6 @@
 			if found := r.reply.GetOrigin(); found != nil && (!ok || found.GetSequence() > best.Sequence) {
 				best, ok = originFromProto(found), true
 			}
-			if best.Version != "" {
-				return best, true, nil
-			}
 			lastErr = cmp.Or(r.err, lastErr)
 		case <-ctx.Done():
 			return best, ok, Errorf("find origin", KindUnreachable, "not all fronts answered: %w", ctx.Err())
--- a/origin/store.go
+++ b/origin/store.go
@@ -26,6 +26,8 @@
 	// Sequence numbers the origins of an attempt that was sent to several endpoints; the
 	// highest one holds.
 	Sequence uint32
+	// Served is set at the instance that served the attempt, which knows its latest origin.
+	Served bool
 }
 
 // Store holds origins in memory. It is safe for concurrent use.
