Rely on replicas only after a shard was read since another front may have been its home

Cause: in an outage of the log, the home of a shard lets one turn of a program begin on replicas, if it has read or appended to the end of the shard within ten seconds. A front that was the home some seconds ago and becomes it again, since another one is frozen, or that wakes up itself, still counted as having read it, though the home in between had written since, and lets a turn begin on replicas as well. If all processes are lost then, two turns are forgotten.

Change: a shard knows until when another process may have been its home (foreignUntil), and begin records rely on replicas only if it was read or appended to after that. It is set when a home is lost, when it is gained (a front that starts has read its shards while others were their homes), and for all shards when the check of homes comes so late that others may have taken this front for lost. Until that check, the front is no home for the shard set (Mesh.IsSteadyHome).

Why it works: of the fronts that were homes of a shard one after the other, only one has read the shard since it became the home the last time, before the log went away.

--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -189,3 +190,67 @@
 		})
 	}
 }
+
+// TestFrontIsNoHomeUntilASuspensionIsNoted guards against a front that wakes up and admits turns by what it
+// knew before others became the homes of its shards.
+func TestFrontIsNoHomeUntilASuspensionIsNoted(t *testing.T) {
+	tests := []struct {
+		name          string
+		checkedBefore time.Duration
+		want          bool
+	}{
+		{name: "checked just now", want: true},
+		{name: "checked late", checkedBefore: 2 * homeCheckInterval, want: true},
+		{name: "suspended until others may take it for lost", checkedBefore: suspendedAfter},
+		{name: "suspended for long", checkedBefore: time.Minute},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := &homeWatch{}
+			isHome := func(shard int) bool { return shard != 1 }
+			require.False(t, w.owns(0, noon), "no check yet")
+			require.Zero(t, w.suspendedFor(noon))
+			gained, lost := w.changes(3, isHome)
+			w.update(gained, lost, noon)
+			require.Equal(t, []int{0, 2}, gained)
+			require.Empty(t, lost)
+			now := noon.Add(test.checkedBefore)
+			require.Equal(t, test.want, w.owns(0, now))
+			require.Equal(t, test.want, w.suspendedFor(now) == 0)
+			require.False(t, w.owns(1, now))
+			gained, lost = w.changes(3, func(shard int) bool { return shard != 2 })
+			require.Equal(t, []int{1}, gained)
+			require.Equal(t, []int{2}, lost)
+			require.False(t, w.owns(1, now), "the change was not noted")
+			w.update(gained, lost, now)
+			require.True(t, w.owns(1, now))
+			require.False(t, w.owns(2, now))
+		})
+	}
+}
+
+// TestHomeIsSteadyOnceTheShardSetKnowsOfIt guards against a front that becomes a home and admits turns by
+// what it read while another one was.
+func TestHomeIsSteadyOnceTheShardSetKnowsOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newStartingFront(t, "m", 1, turntest.NewLog())
+		m.config.StoreUnreachableFor = func() time.Duration { return 0 }
+		m.MarkStarted()
+		require.True(t, m.IsHome(0))
+		require.False(t, m.IsSteadyHome(0))
+		m.checkHomes(time.Now())
+		require.True(t, m.IsSteadyHome(0))
+		time.Sleep(suspendedAfter)
+		require.True(t, m.IsHome(0))
+		require.False(t, m.IsSteadyHome(0))
+		m.checkHomes(time.Now())
+		require.True(t, m.IsSteadyHome(0))
+		m.Leave()
+		other := newTestMesh(t, "other")
+		connectTo(m, other)
+		require.False(t, m.IsSteadyHome(0))
+		m.checkHomes(time.Now())
+		m.leaving.Store(false)
+		require.False(t, m.IsSteadyHome(0))
+	})
+}
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -103,6 +103,8 @@
 	listener  net.Listener
 	// gossipSequence is the sequence number of the last datagram sent.
 	gossipSequence atomic.Uint64
+	// homes holds the shards that this front is the home of.
+	homes homeWatch
 	// leaving is set once this front must not be the home of any shard.
 	leaving atomic.Bool
 	// exiting is set once this front serves no other front any more.
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -145,7 +145,7 @@
 	f.store = platform.NewStore(platform.StoreConfig{Address: c.StoreAddress, Relay: f.mesh, Metrics: f.registry, Logger: c.Logger})
 	f.shardSet = turn.New(turn.Config{
 		WriterID: rand.Uint64(), ShardCount: c.Shards, Log: f.store.TurnLog(), Replicator: f.mesh, FindElsewhere: f.mesh.Find, FindInMemoryElsewhere: f.mesh.FindInMemory, Logger: c.Logger,
-		MinAppendInterval: minAppendInterval(c), Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, MaxRecordBytes: c.MaxRecordBytes, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, IsHome: f.mesh.IsHome, MaxStaleness: turn.DefaultMaxStaleness,
+		MinAppendInterval: minAppendInterval(c), Linger: turn.DefaultLinger, LogTimeout: turn.DefaultLogTimeout, ReadTimeout: turn.DefaultReadTimeout, MaxRecordBytes: c.MaxRecordBytes, ReplicateBeginsAfter: turn.DefaultReplicateBeginsAfter, ReplicateEndsAfter: turn.DefaultReplicateEndsAfter, IsHome: f.mesh.IsSteadyHome, MaxStaleness: turn.DefaultMaxStaleness,
 	})
 	f.mesh.SetHandlers(f.shardSet, f.store)
 	f.endpointClient = platform.NewEndpointClient(f.registry)
--- a/turn/lease.go
+++ b/turn/lease.go
@@ -212,16 +212,34 @@
 }
 
 // ReleaseLeases ends the leases that this process holds in shards of which it is no longer the
-// home, so that the next home has the whole budgets.
+// home, so that the next home has the whole budgets. It includes MarkForeign.
 func (set *ShardSet) ReleaseLeases(shards []int) {
-	for _, number := range shards {
-		set.mu.Lock()
-		s, ok := set.shards[number]
-		set.mu.Unlock()
-		if ok {
-			s.releaseLeases()
+	for _, s := range set.inMemory(shards) {
+		s.releaseLeases()
+	}
+}
+
+// MarkForeign notes that another process may have been the home of shards until now: this one
+// relies on replicas only once it has read or appended to their end again. Its leases stay valid.
+func (set *ShardSet) MarkForeign(shards []int) {
+	for _, s := range set.inMemory(shards) {
+		s.mu.Lock()
+		s.markForeign()
+		s.mu.Unlock()
+	}
+}
+
+// inMemory returns those of the given shards that are in memory.
+func (set *ShardSet) inMemory(numbers []int) []*shard {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	var shards []*shard
+	for _, number := range numbers {
+		if s, ok := set.shards[number]; ok {
+			shards = append(shards, s)
 		}
 	}
+	return shards
 }
 
 // releaseLeases queues the record that ends the leases of this process, if it holds any or may be
@@ -229,6 +247,7 @@
 func (s *shard) releaseLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.markForeign()
 	if s.releasingLeases || !(s.leases.holdsLease(s.set.writerID) || s.hasPendingLease()) {
 		return
 	}
--- a/turn/replicate.go
+++ b/turn/replicate.go
@@ -76,7 +76,8 @@
 //   - One begin record of a program at a time may be replicated. If it is lost, the
 //     program exceeds its budget by one turn at most, which is allowed. Only the home
 //     of the shard may do so, and only if it has read or appended to the end of the
-//     shard within Config.MaxStaleness.
+//     shard within Config.MaxStaleness, and since any other process may have been the home:
+//     that one may have written, or have a begin record of the program replicated as well.
 //   - An end record without a turn may be replicated when an outage has lasted for
 //     Config.ReplicateEndsAfter.
 //
@@ -89,7 +90,7 @@
 	if s.failingSince.IsZero() && now.Sub(op.submittedAt) < c.ReplicateBeginsAfter {
 		return false
 	}
-	return now.Sub(s.syncedAt) < c.MaxStaleness && c.IsHome(s.number) && !s.hasReplicatedBegin(op.program)
+	return now.Sub(s.syncedAt) < c.MaxStaleness && s.syncedAt.After(s.foreignUntil) && c.IsHome(s.number) && !s.hasReplicatedBegin(op.program)
 }
 
 // hasReplicatedBegin reports whether a begin record that this process wrote for the
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -60,6 +60,9 @@
 	// syncedAt is when the last read of the end of the shard, or append to it, began: all records
 	// from before have been applied.
 	syncedAt time.Time
+	// foreignUntil is the latest known time at which another process may have been the home, and have
+	// written to the shard.
+	foreignUntil time.Time
 	// failingSince is when appends began to fail, zero while they succeed.
 	failingSince time.Time
 	// replicating is set while replicatePending runs.
@@ -106,6 +109,9 @@
 	}
 }
 
+// markForeign notes that another process may have been the home of the shard until now. s.mu must be held.
+func (s *shard) markForeign() { s.foreignUntil = time.Now() }
+
 // applyRecords applies records that start at firstOffset in the log, except those that
 // were applied before, and completes the pending writes of this process among them. It
 // refuses the pending attempts that no longer fit their budgets because of records of other
--- a/turn/shardset.go
+++ b/turn/shardset.go
@@ -58,7 +58,8 @@
 	// ReplicateEndsAfter is how long appends must have failed before end records
 	// without a turn are replicated.
 	ReplicateEndsAfter time.Duration
-	// IsHome reports whether this process is the home of a shard.
+	// IsHome reports whether this process is the home of a shard. It must be false from the time
+	// at which another process may have become the home until MarkForeign or ReleaseLeases returns.
 	IsHome func(shard int) bool
 	// MaxStaleness is the maximum time since this process last read or appended to the
 	// end of a shard for begin records to be replicated instead of logged.
