Count spent tokens in begin records too

Callers saw, in a test: a program of 2,000 tokens is handed 2,200, where 2,100 are allowed, when its first records were trimmed and another front reads its shard (TestBudgetHoldsAfterTrimming, row after 308 s).

Cause: end records count the tokens that their program has spent before, for readers that find no earlier record; begin records did not. If the first record left is a begin record, the reader knows the program from then on with nothing spent, and does not look at the count of the end records after it. Found with it: the count left out the ends that were pending when it was made, as all are that wait for the end of an outage.

Counts include pending ends. An end record with a greater count than the reader has goes before it, so that a first record without a count, of an earlier version or a settlement by a front that has not loaded the shard, is mended by the next end record. Begin records count only as the first ones of a program: one that was replicated in an outage may be kept while the end before it is lost with its home, whose tokens are still reserved.

Why it works: each record is written by a front that knows all records before it, so a reader that starts at any record but a begin record without a count goes on from what was spent.

--- a/turn/append.go
+++ b/turn/append.go
@@ -232,6 +232,22 @@
 	return sum
 }
 
+// spentTokensWithPending returns the tokens that a program has spent by the records so far, pending
+// ones included. s.mu must be held.
+func (s *shard) spentTokensWithPending(program string) int64 {
+	sum := s.state.spentTokens(program)
+	counted := map[string]bool{}
+	for _, op := range s.pending {
+		e := op.record.GetEnd()
+		if e.GetProgram() != program || counted[e.GetAttempt()] || s.state.hasEnded(program, e.GetAttempt()) {
+			continue
+		}
+		counted[e.GetAttempt()] = true
+		sum += e.GetTokens()
+	}
+	return sum
+}
+
 // refuseOverBudget refuses the pending attempts of the given programs that no longer fit
 // their budgets because another process has written to the shard. Attempts with replicated or
 // leased begin records stay: their callers may already have continued. s.mu must be held.
--- a/turn/begin.go
+++ b/turn/begin.go
@@ -82,7 +82,7 @@
 		delete(s.fetchedTextByAttempt, r.Attempt)
 		return err
 	}
-	begin := &turnpb.Begin{Program: r.Program, Attempt: r.Attempt, Tokens: r.MaxTokens}
+	begin := &turnpb.Begin{Program: r.Program, Attempt: r.Attempt, Tokens: r.MaxTokens, Spent: s.spentTokensWithPending(r.Program)}
 	if r.Lease && s.set.config.IsHome(s.number) {
 		begin.Budget = r.BudgetTokens
 	}
--- a/turn/end.go
+++ b/turn/end.go
@@ -33,9 +33,7 @@
 			s.firstSessionByProgram[r.Program] = r.Session
 		}
 	}
-	if p, ok := s.state.programs[r.Program]; ok {
-		end.Spent = p.spentTokens
-	}
+	end.Spent = s.spentTokensWithPending(r.Program)
 	var op *writeOp
 	for _, part := range splitTurn(end, set.config.MaxRecordBytes) {
 		op = &writeOp{record: &turnpb.Record{Body: &turnpb.Record_End{End: part}}}
--- a/turn/lease.go
+++ b/turn/lease.go
@@ -68,23 +68,24 @@
 	}
 }
 
-// program returns the budget of a program, a new one if the log has no earlier record of it.
-func (l *leaseLedger) program(id string, r *turnpb.Record) (p *leasedBudget, known bool) {
-	p, known = l.programs[id]
-	if !known {
-		p = &leasedBudget{reservations: map[string]reservation{}, endedAttempts: map[string]struct{}{}, leaseByWriter: map[uint64]int64{}}
+// program returns the budget of a program. If the log has no earlier record of it, that is a new one from
+// which so many tokens are spent.
+func (l *leaseLedger) program(id string, r *turnpb.Record, spent int64) *leasedBudget {
+	p, ok := l.programs[id]
+	if !ok {
+		p = &leasedBudget{spentTokens: spent, reservations: map[string]reservation{}, endedAttempts: map[string]struct{}{}, leaseByWriter: map[uint64]int64{}}
 		l.programs[id] = p
 	}
 	if at := time.UnixMilli(r.GetWrittenMs()); at.After(p.lastRecordAt) {
 		p.lastRecordAt = at
 	}
-	return p, known
+	return p
 }
 
 // applyBegin reserves the tokens of an attempt, takes them from the writer's lease, and raises the
 // lease to its part of what is left.
 func (l *leaseLedger) applyBegin(r *turnpb.Record, begin *turnpb.Begin) {
-	p, _ := l.program(begin.GetProgram(), r)
+	p := l.program(begin.GetProgram(), r, begin.GetSpent())
 	if _, ended := p.endedAttempts[begin.GetAttempt()]; ended {
 		return
 	}
@@ -106,10 +107,8 @@
 // applyEnd counts the delivered tokens of an attempt and returns the rest of its reservation to
 // the lease of the writer that made it, if that still holds one.
 func (l *leaseLedger) applyEnd(r *turnpb.Record, end *turnpb.End) {
-	p, known := l.program(end.GetProgram(), r)
-	if !known {
-		p.spentTokens = end.GetSpent()
-	}
+	p := l.program(end.GetProgram(), r, end.GetSpent())
+	p.spentTokens = max(p.spentTokens, end.GetSpent())
 	if _, ended := p.endedAttempts[end.GetAttempt()]; ended {
 		return
 	}
--- a/turn/state.go
+++ b/turn/state.go
@@ -90,6 +90,14 @@
 	return sum
 }
 
+// spentTokens returns the tokens that a program has spent.
+func (s *state) spentTokens(id string) int64 {
+	if p, ok := s.programs[id]; ok {
+		return p.spentTokens
+	}
+	return 0
+}
+
 // hasEnded reports whether the end record of a program's attempt was applied.
 func (s *state) hasEnded(program, attempt string) bool {
 	p, ok := s.programs[program]
@@ -141,9 +149,14 @@
 	return ended && (found || e.GetTurn() == nil)
 }
 
-// applyBegin reserves the tokens of an attempt unless it has ended.
+// applyBegin reserves the tokens of an attempt unless it has ended. For a program without earlier records,
+// which may have been trimmed, the spent tokens start from the count in the record.
 func (s *state) applyBegin(begin *turnpb.Begin, writtenAt time.Time) {
+	_, known := s.programs[begin.GetProgram()]
 	p := s.getOrCreateProgram(begin.GetProgram(), writtenAt)
+	if !known {
+		p.spentTokens = begin.GetSpent()
+	}
 	if _, ok := p.endedAttempts[begin.GetAttempt()]; ok {
 		return
 	}
@@ -151,14 +164,11 @@
 }
 
 // applyEnd releases the reserved tokens of an attempt, counts the delivered ones as
-// spent and adds the completed turn. For a program without earlier records, which may
-// have been trimmed, the spent tokens start from the count in the record.
+// spent and adds the completed turn. If the record counts more tokens as spent before it than were seen,
+// earlier records have been trimmed and the first one left had no count.
 func (s *state) applyEnd(end *turnpb.End, writtenAt time.Time) {
-	_, known := s.programs[end.GetProgram()]
 	p := s.getOrCreateProgram(end.GetProgram(), writtenAt)
-	if !known {
-		p.spentTokens = end.GetSpent()
-	}
+	p.spentTokens = max(p.spentTokens, end.GetSpent())
 	if _, ok := p.endedAttempts[end.GetAttempt()]; !ok {
 		p.endedAttempts[end.GetAttempt()] = struct{}{}
 		delete(p.reservedByAttempt, end.GetAttempt())
