--- a/turn/clock_test.go
+++ b/turn/clock_test.go
@@ -106,6 +106,8 @@
 						require.Equal(t, want, string(got))
 					}
 				}
+				_, err := env.log.Read(t.Context(), turn.ShardOf("p", 4), 0)
+				require.Equal(t, turn.KindExpired, turn.KindOf(err), "records were trimmed")
 			})
 		})
 	}
