--- a/turn/lease.go
+++ b/turn/lease.go
@@ -68,23 +68,24 @@
 	}
 }
 
-// program returns the budget of a program, a new one if the log has no earlier record of it.
-func (l *leaseLedger) program(id string, r *turnpb.Record) (p *leasedBudget, known bool) {
-	p, known = l.programs[id]
-	if !known {
-		p = &leasedBudget{reservations: map[string]reservation{}, endedAttempts: map[string]struct{}{}, leaseByWriter: map[uint64]int64{}}
+// program returns the budget of a program. If the log has no earlier record of it, that is a new one from
+// which so many tokens are spent.
+func (l *leaseLedger) program(id string, r *turnpb.Record, spent int64) *leasedBudget {
+	p, ok := l.programs[id]
+	if !ok {
+		p = &leasedBudget{spentTokens: spent, reservations: map[string]reservation{}, endedAttempts: map[string]struct{}{}, leaseByWriter: map[uint64]int64{}}
 		l.programs[id] = p
 	}
 	if at := time.UnixMilli(r.GetWrittenMs()); at.After(p.lastRecordAt) {
 		p.lastRecordAt = at
 	}
-	return p, known
+	return p
 }
 
 // applyBegin reserves the tokens of an attempt, takes them from the writer's lease, and raises the
 // lease to its part of what is left.
 func (l *leaseLedger) applyBegin(r *turnpb.Record, begin *turnpb.Begin) {
-	p, _ := l.program(begin.GetProgram(), r)
+	p := l.program(begin.GetProgram(), r, begin.GetSpent())
 	if _, ended := p.endedAttempts[begin.GetAttempt()]; ended {
 		return
 	}
@@ -106,10 +107,8 @@
 // applyEnd counts the delivered tokens of an attempt and returns the rest of its reservation to
 // the lease of the writer that made it, if that still holds one.
 func (l *leaseLedger) applyEnd(r *turnpb.Record, end *turnpb.End) {
-	p, known := l.program(end.GetProgram(), r)
-	if !known {
-		p.spentTokens = end.GetSpent()
-	}
+	p := l.program(end.GetProgram(), r, end.GetSpent())
+	p.spentTokens = max(p.spentTokens, end.GetSpent())
 	if _, ended := p.endedAttempts[end.GetAttempt()]; ended {
 		return
 	}
@@ -212,16 +211,34 @@
 }
 
 // ReleaseLeases ends the leases that this process holds in shards of which it is no longer the
-// home, so that the next home has the whole budgets.
+// home, so that the next home has the whole budgets. It includes MarkForeign.
 func (set *ShardSet) ReleaseLeases(shards []int) {
-	for _, number := range shards {
-		set.mu.Lock()
-		s, ok := set.shards[number]
-		set.mu.Unlock()
-		if ok {
-			s.releaseLeases()
+	for _, s := range set.inMemory(shards) {
+		s.releaseLeases()
+	}
+}
+
+// MarkForeign notes that another process may have been the home of shards until now: this one
+// relies on replicas only once it has read or appended to their end again. Its leases stay valid.
+func (set *ShardSet) MarkForeign(shards []int) {
+	for _, s := range set.inMemory(shards) {
+		s.mu.Lock()
+		s.markForeign()
+		s.mu.Unlock()
+	}
+}
+
+// inMemory returns those of the given shards that are in memory.
+func (set *ShardSet) inMemory(numbers []int) []*shard {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	var shards []*shard
+	for _, number := range numbers {
+		if s, ok := set.shards[number]; ok {
+			shards = append(shards, s)
 		}
 	}
+	return shards
 }
 
 // releaseLeases queues the record that ends the leases of this process, if it holds any or may be
@@ -229,6 +246,7 @@
 func (s *shard) releaseLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.markForeign()
 	if s.releasingLeases || !(s.leases.holdsLease(s.set.writerID) || s.hasPendingLease()) {
 		return
 	}
