Wait at the start until addresses in use are free

Callers saw an instance that stayed away: a process whose address for callers, readiness, peers (TCP or UDP), metrics or operators was in use exited with 1 at its first try, after 8 ms, for instance beside a predecessor that still drained.

Cause: the first failed bind ended the start. Change: daemon.Open and daemon.OpenFront repeat it each 100 ms while the error is that an address is in use, for the longest time that a predecessor may live (grace period or stop-timeout) and two seconds more, with a log line each 2 s, until the process is asked to stop. Then, or at any other error, they fail as before. Between two tries all listeners are closed: a connection is refused at once, and readiness checks fail.

--- a/cmd/lavendervaled/life_test.go
+++ b/cmd/lavendervaled/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -158,17 +159,28 @@
 	}
 }
 
-// occupy takes a free port of loopback. It returns its address and a function that frees it.
+// occupy takes a port of loopback that is free for TCP and UDP, for one of them. It returns its
+// address and a function that frees it.
 func occupy(t *testing.T, network string) (string, func()) {
 	t.Helper()
-	if network == "udp" {
-		conn, err := net.ListenPacket(network, "127.0.0.1:0")
+	for range 100 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		return conn.LocalAddr().String(), func() { require.NoError(t, conn.Close()) }
+		address := listener.Addr().String()
+		conn, err := net.ListenPacket("udp", address)
+		if err != nil {
+			require.NoError(t, listener.Close())
+			continue
+		}
+		occupied, other := io.Closer(listener), io.Closer(conn)
+		if network == "udp" {
+			occupied, other = other, occupied
+		}
+		require.NoError(t, other.Close())
+		return address, func() { require.NoError(t, occupied.Close()) }
 	}
-	listener, err := net.Listen(network, "127.0.0.1:0")
-	require.NoError(t, err)
-	return listener.Addr().String(), func() { require.NoError(t, listener.Close()) }
+	t.Fatal("no port is free for both TCP and UDP")
+	return "", nil
 }
 
 func TestStartWaitsForWholeSettings(t *testing.T) {
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -48,31 +48,44 @@
 	// Standard error blocks when its reader does not read.
 	zap.RedirectStdLog(logger.Logger)
 	go recheckSettings(ctx, signals.Hangups(), c.String("settings"), settings, logger.Logger)
-	if ctx.Err() != nil {
+	defer func() { _ = logger.Sync() }()
+	process, err := open(ctx, settings, logger)
+	if ctx.Err() != nil && process == nil {
 		logger.Info("process stops before its start", zap.NamedError("cause", context.Cause(ctx)))
-		return logger.Sync()
+		return nil
 	}
-	if settings.Front() != nil {
-		return runFront(ctx, *settings.Front(), logger)
-	}
-	config := settings.Daemon()
-	config.Logger, config.DroppedLines = logger.Logger, logger.droppedLines
-	process, err := daemon.New(config)
 	if err != nil {
 		return cli.Exit(err, exitFailed)
 	}
 	return process.Run(ctx)
 }
 
-// runFront runs a front until ctx is canceled.
-func runFront(ctx context.Context, config daemon.FrontConfig, logger *processLog) error {
+// runner is a process with its listeners open.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// open opens the listeners of a process. It returns nil if ctx ends before.
+func open(ctx context.Context, settings *inifile.Settings, logger *processLog) (runner, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	if front := settings.Front(); front != nil {
+		config := *front
+		config.Logger, config.DroppedLines = logger.Logger, logger.droppedLines
+		process, err := daemon.OpenFront(ctx, config)
+		if err != nil {
+			return nil, err
+		}
+		return process, nil
+	}
+	config := settings.Daemon()
 	config.Logger, config.DroppedLines = logger.Logger, logger.droppedLines
-	defer func() { _ = logger.Sync() }()
-	front, err := daemon.NewFront(config)
+	process, err := daemon.Open(ctx, config)
 	if err != nil {
-		return cli.Exit(err, exitFailed)
+		return nil, err
 	}
-	return front.Run(ctx)
+	return process, nil
 }
 
 func checkCommand() *cli.Command {
