Wait at the start for settings that are whole

Callers saw an instance that stayed away: a process whose settings file was missing, empty or half written when it started exited with 2 at once, though the platform writes the file at every start.

Cause: the file was read once. Change: it is read again each 50 ms, for five seconds at most, until it is valid or the process is asked to stop, which ends with 0. The first error is on standard error at once, so a mistake in the file is reported as early as before; the exit code 2 comes five seconds later. `check` reads once, as before. A file that is cut off where what is missing has defaults can't be told from a whole one.

--- a/cmd/lavendervaled/life_test.go
+++ b/cmd/lavendervaled/life_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -11,6 +14,8 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -211,3 +216,25 @@
 		})
 	}
 }
+
+func TestSettingsAreAwaitedForALimitedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := writeSettings(t, "[process]\nrole = front\n")
+		var output bytes.Buffer
+		began := time.Now()
+		_, err := awaitSettings(t.Context(), path, &output)
+		require.ErrorContains(t, err, "[process] name: missing")
+		require.Equal(t, settingsTimeout, time.Since(began))
+		require.Equal(t, 1, strings.Count(output.String(), "can't read the settings yet"))
+		require.Contains(t, output.String(), "[process] name: missing")
+
+		stopped := errors.New("stopped")
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(settingsTimeout/2, func() { cancel(stopped) })
+		began = time.Now()
+		settings, err := awaitSettings(ctx, path, &output)
+		require.Nil(t, settings)
+		require.ErrorIs(t, err, stopped)
+		require.Equal(t, settingsTimeout/2, time.Since(began))
+	})
+}
--- a/cmd/lavendervaled/run.go
+++ b/cmd/lavendervaled/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -13,12 +15,20 @@
 	"github.com/lavendervale/lavendervale/adapter/inifile"
 	"github.com/lavendervale/lavendervale/daemon"
 	"github.com/lavendervale/lavendervale/signals"
+	"github.com/lavendervale/lavendervale/timer"
 )
 
 // settingsPathEnv is the environment variable in which the platform passes the path of the
 // settings file.
 const settingsPathEnv = "LAVENDERVALE_BOOT"
 
+const (
+	// settingsTimeout bounds the wait at the start for settings that are valid.
+	settingsTimeout = 5 * time.Second
+	// settingsRetryInterval is the time between two tries to read them.
+	settingsRetryInterval = 50 * time.Millisecond
+)
+
 func settingsFlag() cli.Flag {
 	return &cli.StringFlag{Name: "settings", Required: true, Usage: "path of the settings file of the process", Sources: cli.EnvVars(settingsPathEnv)}
 }
@@ -37,7 +47,11 @@
 func runProcess(ctx context.Context, c *cli.Command) error {
 	// A write to standard output or error without a reader raises SIGPIPE, which would kill the process.
 	signal.Ignore(syscall.SIGPIPE)
-	settings, err := inifile.ReadSettingsFile(c.String("settings"))
+	settings, err := awaitSettings(ctx, c.String("settings"), os.Stderr)
+	if ctx.Err() != nil && settings == nil {
+		fmt.Fprintln(os.Stderr, err)
+		return nil
+	}
 	if err != nil {
 		return cli.Exit(err, exitInvalid)
 	}
@@ -60,6 +74,25 @@
 	return process.Run(ctx)
 }
 
+// awaitSettings reads a settings file. While it is missing or invalid, for instance because it is
+// being written, awaitSettings tries again until settingsTimeout has passed or ctx ends. It
+// reports the first error to errOutput at once.
+func awaitSettings(ctx context.Context, path string, errOutput io.Writer) (*inifile.Settings, error) {
+	for started, reported := time.Now(), false; ; {
+		settings, err := inifile.ReadSettingsFile(path)
+		if err == nil || time.Since(started) >= settingsTimeout {
+			return settings, err
+		}
+		if !reported {
+			fmt.Fprintf(errOutput, "can't read the settings yet, trying for %s: %v\n", settingsTimeout, err)
+			reported = true
+		}
+		if timer.Sleep(ctx, settingsRetryInterval) != nil {
+			return nil, fmt.Errorf("stopped before the settings could be read: %w", context.Cause(ctx))
+		}
+	}
+}
+
 // runner is a process with its listeners open.
 type runner interface {
 	Run(ctx context.Context) error
