Go on serving when a connection can't be accepted

Callers saw calls cut off when an engine or service process ended with "too many open files": idle connections to its peers port use up the descriptors, as anything in the network may open them.

Cause: an error of Accept ended the server, and a server that ends ends the process. net/http retries a few errors only. Class: a first failed try ends the process. Change: the servers for readiness, metrics, callers and operators of entries and endpoint processes, and peers log the error and accept again after 10 ms, as the front's servers for callers and peers already did; only a closed listener ends them.

--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -184,7 +184,9 @@
 	serveCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	serveErrs := make(chan error, 2)
-	wg.Go(func() { serveErrs <- p.server.Serve(serveCtx, p.peerListener) })
+	wg.Go(func() {
+		serveErrs <- p.server.Serve(serveCtx, retryingListener{Listener: p.peerListener, log: p.config.Logger})
+	})
 	wg.Go(func() { serveErrs <- p.adminServer.serve() })
 	var err error
 	select {
--- a/daemon/front_listeners.go
+++ b/daemon/front_listeners.go
@@ -50,7 +50,7 @@
 func serveHTTP(l net.Listener, h http.Handler, log *zap.Logger, serveErrs chan<- error) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(log)}
 	go func() {
-		if err := s.Serve(l); err != http.ErrServerClosed {
+		if err := s.Serve(retryingListener{Listener: l, log: log}); err != http.ErrServerClosed {
 			serveErrs <- err
 		}
 	}()
--- a/daemon/http_server.go
+++ b/daemon/http_server.go
@@ -32,7 +32,7 @@
 		Handler: h, Protocols: protocols, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout,
 		MaxHeaderBytes: httpMaxHeaderBytes, ErrorLog: zap.NewStdLog(log),
 	}
-	return &httpServer{listener: l, server: server}
+	return &httpServer{listener: retryingListener{Listener: l, log: log}, server: server}
 }
 
 func (w *httpServer) address() string { return w.listener.Addr().String() }
