--- a/cmd/lavendervaled/life_test.go
+++ b/cmd/lavendervaled/life_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -10,6 +14,8 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -158,17 +164,28 @@
 	}
 }
 
-// occupy takes a free port of loopback. It returns its address and a function that frees it.
+// occupy takes a port of loopback that is free for TCP and UDP, for one of them. It returns its
+// address and a function that frees it.
 func occupy(t *testing.T, network string) (string, func()) {
 	t.Helper()
-	if network == "udp" {
-		conn, err := net.ListenPacket(network, "127.0.0.1:0")
+	for range 100 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		return conn.LocalAddr().String(), func() { require.NoError(t, conn.Close()) }
+		address := listener.Addr().String()
+		conn, err := net.ListenPacket("udp", address)
+		if err != nil {
+			require.NoError(t, listener.Close())
+			continue
+		}
+		occupied, other := io.Closer(listener), io.Closer(conn)
+		if network == "udp" {
+			occupied, other = other, occupied
+		}
+		require.NoError(t, other.Close())
+		return address, func() { require.NoError(t, occupied.Close()) }
 	}
-	listener, err := net.Listen(network, "127.0.0.1:0")
-	require.NoError(t, err)
-	return listener.Addr().String(), func() { require.NoError(t, listener.Close()) }
+	t.Fatal("no port is free for both TCP and UDP")
+	return "", nil
 }
 
 func TestStartWaitsForWholeSettings(t *testing.T) {
@@ -199,3 +216,25 @@
 		})
 	}
 }
+
+func TestSettingsAreAwaitedForALimitedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := writeSettings(t, "[process]\nrole = front\n")
+		var output bytes.Buffer
+		began := time.Now()
+		_, err := awaitSettings(t.Context(), path, &output)
+		require.ErrorContains(t, err, "[process] name: missing")
+		require.Equal(t, settingsTimeout, time.Since(began))
+		require.Equal(t, 1, strings.Count(output.String(), "can't read the settings yet"))
+		require.Contains(t, output.String(), "[process] name: missing")
+
+		stopped := errors.New("stopped")
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(settingsTimeout/2, func() { cancel(stopped) })
+		began = time.Now()
+		settings, err := awaitSettings(ctx, path, &output)
+		require.Nil(t, settings)
+		require.ErrorIs(t, err, stopped)
+		require.Equal(t, settingsTimeout/2, time.Since(began))
+	})
+}
