Test streams that begin in an outage at an endpoint that started again

A stream that begins while the store can't be read is sent at once, on a new connection to an endpoint that may have started again with another version. Its caller would get a joined stream if the origin named the version of the entry.

--- a/daemon/front_reborn_test.go
+++ b/daemon/front_reborn_test.go
@@ -178,3 +178,37 @@
 		})
 	}
 }
+
+// TestStreamBegunInAnOutageIsResumedOnlyAtItsVersion guards against an origin that names the version of an
+// entry, where the process that began the stream may have started again since.
+func TestStreamBegunInAnOutageIsResumedOnlyAtItsVersion(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t)
+	s.maxAttempts = 1
+	s.configure()
+	s.store.Put("keyed.servers", "engine-1", nil)
+	s.store.Put("keyed.servers", "engine-2", nil)
+	began, others := s.startRebornEngine("began", 1000), []*rebornEngine{s.startRebornEngine("v1", 1000), s.startRebornEngine("v2", 1000)}
+	others[1].restart("v2")
+	f := s.startFront()
+	s.store.SetFault(store.Unavailable)
+	began.restart("v3")
+	began.SetBehavior(worker.TruncatedResponse)
+	for _, other := range others {
+		other.SetBehavior(worker.Overloaded)
+	}
+	status, _, begin, err := f.send(t, http.MethodPost, "/survey/1", "first", "x")
+	require.Equal(t, http.StatusOK, status, "a stream that begins does not wait for the store")
+	require.Error(t, err, "the endpoint breaks off")
+	require.Equal(t, map[string]bool{"v3": true}, versionsIn(begin))
+	began.SetBehavior(worker.Overloaded)
+	for _, other := range others {
+		other.SetBehavior(worker.Healthy)
+	}
+	status, _, body, err := f.send(t, http.MethodPost, "/survey/1", "second", "x", "Last-Event-Id", "1", "Resumes", "first")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status, body)
+	for _, other := range others {
+		require.Empty(t, other.Executions(), "the request has not run")
+	}
+}
