--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,3 +72,28 @@
 	require.Eventually(t, func() bool { return m.AliveCount() > 0 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, 1, m.KnownCount(), "only the last datagram has a weight")
 }
+
+// failingDatagrams fails to receive the first datagram.
+type failingDatagrams struct {
+	net.PacketConn
+	failed bool
+}
+
+func (d *failingDatagrams) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	if !d.failed {
+		d.failed = true
+		return 0, nil, &net.OpError{Op: "read", Net: "udp", Err: syscall.ENOBUFS}
+	}
+	return d.PacketConn.ReadFrom(buffer)
+}
+
+func TestFailedReceiveDoesNotEndGossip(t *testing.T) {
+	m := newTestMesh(t, "m")
+	data, err := proto.Marshal(&meshpb.Gossip{Name: "front-1", Incarnation: 1, Sequence: 1, Weight: 1})
+	require.NoError(t, err)
+	opened := m.datagrams
+	m.datagrams = &failingDatagrams{PacketConn: &datagrams{data: data}}
+	m.receiveGossip()
+	m.datagrams = opened
+	require.Equal(t, 1, m.KnownCount())
+}
