Go on hearing gossip after a failed receive

Callers would see an instance that takes itself for alone: after one failed read of its datagram socket, such as ENOBUFS when the kernel has no memory for buffers, a front heard no other one until its end and took itself for the home of all shards.

Cause: any error ended the loop. Change: only a closed socket ends it; other errors are logged and the next datagram is read 10 ms later, as for connections.

The socket of the simulated network returned os.ErrClosed when closed, where a real one returns net.ErrClosed; it does so now.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math"
 	"net"
 	"slices"
@@ -19,6 +20,8 @@
 	// gossipInterval is the time between two datagrams to each front. Endpoints run a
 	// request for a few hundred milliseconds, so a load of this age is still useful.
 	gossipInterval = 100 * time.Millisecond
+	// receiveRetryDelay is the wait after a datagram could not be received.
+	receiveRetryDelay = 10 * time.Millisecond
 	// silentPeerEvery is the interval, in gossip rounds, at which datagrams also go to
 	// silent fronts: those that have sent no datagram for aliveTimeout.
 	silentPeerEvery = 5
@@ -162,9 +165,14 @@
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, sender, err := m.datagrams.ReadFrom(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			m.config.Logger.Error("receiving gossip failed", zap.Error(err))
+			time.Sleep(receiveRetryDelay)
+			continue
+		}
 		g := &meshpb.Gossip{}
 		if err := proto.Unmarshal(buffer[:n], g); err != nil || g.GetName() == "" || g.GetName() == m.config.Name || !isWeight(g.GetWeight()) {
 			m.config.Logger.Debug("gossip datagram ignored", zap.Stringer("from", sender), zap.Error(err))
--- a/adapter/mesh/relay_test.go
+++ b/adapter/mesh/relay_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -58,7 +57,7 @@
 	case received := <-s.inbox:
 		return copy(p, received.data), received.from, nil
 	case <-s.closed:
-		return 0, nil, os.ErrClosed
+		return 0, nil, net.ErrClosed
 	}
 }
 
