Add a fault soak: fronts as processes beside stand-ins, under seeded schedules of faults

The soak starts fronts as separate processes, draws a schedule of faults of fronts, endpoints, store, connections and configurations from a seed, and checks what callers and endpoints see: ORDER, MIXED, TWICE, REFUSED, UNASKED, BUDGET, LOST, CONFIG, DENIED, RECOVER, and FAULT by the wait status of each process. The stand-ins of the store, endpoints and connections gain the faults that it needs.

--- /dev/null
+++ b/soak/end.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+const (
+	// earlySignal is how long after its start a process may not have installed its handlers yet.
+	earlySignal = 100 * time.Millisecond
+	// memoryMB is the limit of resident memory of a front.
+	memoryMB = 154
+	// spareFiles is by how many open files a front may exceed its level at the end of a run.
+	spareFiles = 60
+)
+
+// ending is how a process of a front ended, or what it did not do.
+type ending struct {
+	// started tells in which way the process was started.
+	started string
+	status  syscall.WaitStatus
+	// running is set while the process has not ended.
+	running bool
+	// ran is how long the process ran.
+	ran time.Duration
+	// killed is set if the schedule sent SIGKILL.
+	killed bool
+	// stoppedAfter is when after its start the process was sent SIGTERM; negative for never.
+	stoppedAfter time.Duration
+	// overdue is set if the process still ran after the grace period.
+	overdue bool
+	// unready is set if the process did not become ready in time.
+	unready bool
+}
+
+// fault returns what is wrong about the ending, or "".
+func (e ending) fault() string {
+	describe := func(text string) string {
+		return fmt.Sprintf("%s, %s after its start (started: %s)", text, e.ran.Round(time.Millisecond), e.started)
+	}
+	stopped := e.stoppedAfter >= 0
+	switch {
+	case e.unready:
+		return describe("is not ready")
+	case e.overdue:
+		return describe("has not ended within the grace period")
+	case e.running || e.killed && e.status.Signaled() && e.status.Signal() == syscall.SIGKILL:
+		return ""
+	case e.status.Signaled() && e.status.Signal() == syscall.SIGTERM && stopped && e.stoppedAfter < earlySignal:
+		return ""
+	case e.status.Signaled():
+		return describe(fmt.Sprintf("was ended by the signal %q", e.status.Signal()))
+	case e.status.ExitStatus() != 0:
+		return describe(fmt.Sprintf("exited with code %d", e.status.ExitStatus()))
+	case !stopped:
+		return describe("exited by itself")
+	}
+	return ""
+}
+
+// level is what a process holds of the machine.
+type level struct{ files, residentMB int }
+
+// faultOf returns what is wrong about the levels of a process, or "". before is the level when it
+// became ready, peak the highest one of the run, after the one when all callers have gone.
+func faultOf(before, peak, after level) string {
+	switch {
+	case peak.residentMB > memoryMB:
+		return fmt.Sprintf("held %d MB of memory, allowed are %d", peak.residentMB, memoryMB)
+	case after.files > before.files+spareFiles:
+		return fmt.Sprintf("holds %d open files after its callers have gone, %d when it became ready", after.files, before.files)
+	}
+	return ""
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // Fault is a failure that the store simulates.
@@ -28,6 +29,8 @@
 	// AppendResponseLost stores the records of an append and then closes the connection
 	// without a response. Other calls are served normally.
 	AppendResponseLost
+	// Silent answers no call and carries none out.
+	Silent
 )
 
 // defaultPageKB limits a page of a read that names no limit, in KiB.
@@ -41,6 +44,8 @@
 	// topics holds the partitions by topic and partition index.
 	topics map[string]map[int]*partition
 	fault  Fault
+	// latency delays each call before it takes effect, also when its caller has gone.
+	latency time.Duration
 	// callCount includes the calls that failed because of a fault.
 	callCount int
 }
@@ -62,6 +67,13 @@
 	s.fault = f
 }
 
+// SetLatency sets how long each later call waits before it takes effect.
+func (s *Store) SetLatency(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = d
+}
+
 // CallCount returns the number of calls received, including those that failed because
 // of a fault.
 func (s *Store) CallCount() int {
@@ -157,6 +169,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.mu.Lock()
+	latency := s.latency
+	s.mu.Unlock()
+	time.Sleep(latency)
+	s.mu.Lock()
+	silent := s.fault == Silent
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.callCount++
 	switch s.fault {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -69,6 +69,9 @@
 	// lastEventGate delays the last event of each stream until it is closed; nil for no
 	// delay.
 	lastEventGate chan struct{}
+	// respond sends the responses to executed requests in place of the behavior; nil for
+	// none.
+	respond func(out http.ResponseWriter, r *http.Request, body string)
 }
 
 // New returns a healthy worker. With streaming, it responds as a model engine does, with
@@ -106,6 +109,14 @@
 	w.version = version
 }
 
+// RespondWith makes a function send the responses to all later requests that are executed.
+// The headers that every response has are set before it is called.
+func (w *Worker) RespondWith(respond func(out http.ResponseWriter, r *http.Request, body string)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.respond = respond
+}
+
 // Arrivals returns when each request arrived so far. Refused requests are included.
 func (w *Worker) Arrivals() []time.Time {
 	w.mu.Lock()
@@ -163,8 +174,14 @@
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	respond := w.respond
 	w.executions = append(w.executions, Execution{RequestID: r.Header.Get("Request-Id"), Method: r.Method, Path: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
 	w.mu.Unlock()
+	if respond != nil {
+		h.Set("Response-Stamp", "stamp-"+w.instanceID)
+		respond(out, r, string(body))
+		return
+	}
 	switch behavior {
 	case WrongRequestID:
 		h.Set("Request-Id", "0000000000000000")
