Start one successor of a front, and check each rule of the soak on false observations

Two faults that replace a process of the same front could start two successors, which would have met the address of each other, and a front that had been replaced by a fault waited an hour at the end of the run. A successor is started only if none has followed yet. Each check is seen to fail once on a false observation and to hold on a right one.

--- /dev/null
+++ b/soak/end_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEndingFault(t *testing.T) {
+	exited := func(code int) syscall.WaitStatus { return syscall.WaitStatus(code << 8) }
+	by := func(s syscall.Signal) syscall.WaitStatus { return syscall.WaitStatus(s) }
+	tests := []struct {
+		name   string
+		ending ending
+		want   string
+	}{
+		{"runs", ending{running: true, stoppedAfter: -1}, ""},
+		{"killed by the schedule", ending{status: by(syscall.SIGKILL), killed: true, stoppedAfter: -1}, ""},
+		{"killed by another", ending{status: by(syscall.SIGKILL), stoppedAfter: -1}, `was ended by the signal "killed"`},
+		{"stopped", ending{status: exited(0), stoppedAfter: time.Second}, ""},
+		{"stopped while it starts", ending{status: by(syscall.SIGTERM), stoppedAfter: time.Millisecond}, ""},
+		{"ended by SIGTERM later", ending{status: by(syscall.SIGTERM), stoppedAfter: time.Second}, `was ended by the signal "terminated"`},
+		{"ended by SIGHUP", ending{status: by(syscall.SIGHUP), stoppedAfter: -1}, `was ended by the signal "hangup"`},
+		{"ended by a closed pipe", ending{status: by(syscall.SIGPIPE), stoppedAfter: -1}, `was ended by the signal "broken pipe"`},
+		{"failed after SIGTERM", ending{status: exited(1), stoppedAfter: time.Second}, "exited with code 1"},
+		{"failed before SIGKILL", ending{status: exited(2), killed: true, stoppedAfter: -1}, "exited with code 2"},
+		{"ended by itself", ending{status: exited(0), stoppedAfter: -1}, "exited by itself"},
+		{"does not end", ending{running: true, overdue: true, stoppedAfter: time.Second}, "has not ended within the grace period"},
+		{"is not ready", ending{running: true, unready: true, stoppedAfter: -1}, "is not ready"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.ending.started = "first"
+			want := test.want
+			if want != "" {
+				want += ", 0s after its start (started: first)"
+			}
+			require.Equal(t, want, test.ending.fault())
+		})
+	}
+}
+
+func TestLevels(t *testing.T) {
+	before := level{files: 20, residentMB: 20}
+	require.Empty(t, faultOf(before, level{files: 200, residentMB: memoryMB}, before))
+	require.Equal(t, "held 155 MB of memory, allowed are 154", faultOf(before, level{residentMB: memoryMB + 1}, before))
+	require.Equal(t, "holds 81 open files after its callers have gone, 20 when it became ready", faultOf(before, before, level{files: 20 + spareFiles + 1}))
+}
+
+func TestScheduleOfASeedIsTheSame(t *testing.T) {
+	all, err := ParseFaults("")
+	require.NoError(t, err)
+	for seed := range uint64(200) {
+		events := draw(seed, time.Minute, all)
+		require.Equal(t, events, draw(seed, time.Minute, all))
+		require.NotEmpty(t, events)
+		for _, e := range events {
+			require.GreaterOrEqual(t, e.at, firstFault)
+			require.LessOrEqual(t, e.at+e.span, time.Minute-calm)
+		}
+	}
+	require.NotEqual(t, draw(1, time.Minute, all), draw(2, time.Minute, all))
+}
+
+func TestParseFaults(t *testing.T) {
+	all, err := ParseFaults("")
+	require.NoError(t, err)
+	require.Len(t, all, len(faults))
+	tests := []struct {
+		list string
+		want []Fault
+	}{
+		{"kill, crash", []Fault{FaultKill, FaultCrash}},
+		{"kill,crash,-kill", []Fault{FaultCrash}},
+		{"-pipe", slices.DeleteFunc(slices.Clone(all), func(f Fault) bool { return f == FaultPipe })},
+	}
+	for _, test := range tests {
+		t.Run(test.list, func(t *testing.T) {
+			got, err := ParseFaults(test.list)
+			require.NoError(t, err)
+			require.Equal(t, test.want, got)
+		})
+	}
+	_, err = ParseFaults("flood")
+	require.EqualError(t, err, `parse faults: no fault is named "flood"`)
+}
--- a/soak/front.go
+++ b/soak/front.go
@@ -124,13 +124,16 @@
 	return nil, Errorf("find ports", KindSystem, "no %d ports are free for TCP and UDP", count)
 }
 
-// start starts a process, which becomes the current one.
-func (f *front) start(how launch) error {
+// start starts a process, which becomes the current one, unless another one has followed after.
+func (f *front) start(how launch, after *process) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed {
+	if f.closed || f.current != after {
 		return nil
 	}
+	if len(f.live) > 0 {
+		how.name += " beside a predecessor"
+	}
 	if how.partialSpan > 0 {
 		if err := f.writeSettings(how.partial); err != nil {
 			return err
@@ -218,11 +221,11 @@
 			}
 			continue
 		}
-		if p.ready {
+		if p.isReady() {
 			continue
 		}
 		if f.isReady() {
-			p.ready, p.before = true, p.measure()
+			p.becomeReady()
 			f.site.logf("%s is ready", p.name)
 		} else if f.site.storeCalm() && !f.harmed() {
 			if unready += watchInterval; unready == f.config.ReadyTime {
@@ -237,23 +240,25 @@
 	f.check(p, e)
 	f.mu.Lock()
 	delete(f.live, p)
-	last := f.current == p
 	f.mu.Unlock()
-	if !last {
-		return
-	}
 	p.mu.Lock()
 	delay := max(restartDelay, p.stay)
 	p.mu.Unlock()
-	time.Sleep(delay)
-	// Another process may have been started meanwhile.
-	if f.process() == p {
-		if err := f.start(launch{name: "again"}); err != nil {
-			f.site.observer.report("FAULT", "%s can't be started again: %v", f.name, err)
-		}
+	for down := time.Duration(0); down < delay && f.isDownAfter(p); down += watchInterval {
+		time.Sleep(watchInterval)
+	}
+	if err := f.start(launch{name: "again"}, p); err != nil {
+		f.site.observer.report("FAULT", "%s can't be started again: %v", f.name, err)
 	}
 }
 
+// isDownAfter reports whether no process has followed p yet, and one may.
+func (f *front) isDownAfter(p *process) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current == p && !f.closed
+}
+
 // check reports what is wrong about the ending of a process, and keeps the end of its log.
 func (f *front) check(p *process, e ending) {
 	wrong := e.fault()
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -70,7 +70,7 @@
 	p := f.process()
 	p.end(syscall.SIGKILL, time.Hour)
 	<-p.done
-	return f.start(how)
+	return f.start(how, p)
 }
 
 // applyToFront makes a fault of a front happen.
@@ -105,9 +105,10 @@
 		time.Sleep(time.Duration(e.variant%8000) * time.Microsecond)
 		p.signal(signal)
 	case FaultOverlap:
-		f.process().signal(syscall.SIGTERM)
+		p := f.process()
+		p.signal(syscall.SIGTERM)
 		time.Sleep(time.Duration(e.variant%300) * time.Millisecond)
-		return f.start(launch{name: string(e.fault)})
+		return f.start(launch{name: string(e.fault)}, p)
 	case FaultPipe:
 		return f.replaceBy(launch{name: string(e.fault), pipeSpan: e.span})
 	case FaultSettings:
--- a/soak/process.go
+++ b/soak/process.go
@@ -122,6 +122,20 @@
 	change(-1, syscall.SIGCONT)
 }
 
+// becomeReady notes that the process is ready, and what it holds.
+func (p *process) becomeReady() {
+	held := p.measure()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ready, p.before = true, held
+}
+
+func (p *process) isReady() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ready
+}
+
 // runs reports whether the process runs and is not paused.
 func (p *process) runs() bool {
 	p.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -77,7 +77,7 @@
 	defer s.close()
 	events := draw(config.Seed, config.Duration, config.Faults)
 	for _, f := range s.fronts {
-		if err := f.start(launch{name: "first"}); err != nil {
+		if err := f.start(launch{name: "first"}, nil); err != nil {
 			return Result{}, err
 		}
 	}
@@ -135,12 +135,15 @@
 // checkLevel compares what a front holds with what it held when it became ready.
 func (s *site) checkLevel(f *front) {
 	p := f.process()
-	if !p.runs() || !p.ready {
+	if !p.runs() || !p.isReady() {
 		return
 	}
 	after := p.measure()
-	s.logf("%s: %+v when ready, at most %+v, %+v after the callers have gone", p.name, p.before, p.peak, after)
-	if wrong := faultOf(p.before, p.peak, after); wrong != "" {
+	p.mu.Lock()
+	before, peak := p.before, p.peak
+	p.mu.Unlock()
+	s.logf("%s: %+v when ready, at most %+v, %+v after the callers have gone", p.name, before, peak, after)
+	if wrong := faultOf(before, peak, after); wrong != "" {
 		s.observer.report("FAULT", "%s %s", p.name, wrong)
 	}
 }
