--- a/cmd/lavendervale-soak/main.go
+++ b/cmd/lavendervale-soak/main.go
@@ -65,7 +65,7 @@
 	for n := range c.Uint64("seeds") {
 		result, err := soak.Run(soak.Config{
 			Binary: c.String("binary"), Out: c.String("out"), Seed: c.Uint64("seed") + n, Duration: c.Duration("duration"), Fronts: c.Int("fronts"),
-			Faults: faults, GraceSlack: time.Second, ReadyTime: 15 * time.Second, Keep: c.Bool("keep"),
+			Faults: faults, GraceSlack: time.Second, ReadyTime: 15 * time.Second, RecoveryTime: 12 * time.Second, Keep: c.Bool("keep"),
 		})
 		if err != nil {
 			return cli.Exit(err, exitFailed)
--- a/soak/end.go
+++ b/soak/end.go
@@ -7,12 +7,10 @@
 )
 
 const (
-	// earlySignal is how long after its start a process may not have installed its handlers yet.
-	earlySignal = 100 * time.Millisecond
 	// memoryMB is the limit of resident memory of a front.
 	memoryMB = 154
 	// spareFiles is by how many open files a front may exceed its level at the end of a run.
-	spareFiles = 60
+	spareFiles = 100
 )
 
 // ending is how a process of a front ended, or what it did not do.
@@ -26,8 +24,10 @@
 	ran time.Duration
 	// killed is set if the schedule sent SIGKILL.
 	killed bool
-	// stoppedAfter is when after its start the process was sent SIGTERM; negative for never.
-	stoppedAfter time.Duration
+	// stopped is set if the schedule sent SIGTERM.
+	stopped bool
+	// ready is set if the process had become ready, and so had installed its handlers.
+	ready bool
 	// overdue is set if the process still ran after the grace period.
 	overdue bool
 	// unready is set if the process did not become ready in time.
@@ -39,7 +39,6 @@
 	describe := func(text string) string {
 		return fmt.Sprintf("%s, %s after its start (started: %s)", text, e.ran.Round(time.Millisecond), e.started)
 	}
-	stopped := e.stoppedAfter >= 0
 	switch {
 	case e.unready:
 		return describe("is not ready")
@@ -47,13 +46,13 @@
 		return describe("has not ended within the grace period")
 	case e.running || e.killed && e.status.Signaled() && e.status.Signal() == syscall.SIGKILL:
 		return ""
-	case e.status.Signaled() && e.status.Signal() == syscall.SIGTERM && stopped && e.stoppedAfter < earlySignal:
+	case e.status.Signaled() && e.status.Signal() == syscall.SIGTERM && e.stopped && !e.ready:
 		return ""
 	case e.status.Signaled():
 		return describe(fmt.Sprintf("was ended by the signal %q", e.status.Signal()))
 	case e.status.ExitStatus() != 0:
 		return describe(fmt.Sprintf("exited with code %d", e.status.ExitStatus()))
-	case !stopped:
+	case !e.stopped:
 		return describe("exited by itself")
 	}
 	return ""
--- a/soak/front.go
+++ b/soak/front.go
@@ -211,7 +211,7 @@
 		if looks++; looks%5 == 0 {
 			p.measure()
 		}
-		if stopped := p.ending().stoppedAfter >= 0; stopped {
+		if p.ending().stopped {
 			if draining += watchInterval; draining > grace+f.config.GraceSlack {
 				e := p.ending()
 				e.overdue = true
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,12 +22,11 @@
 	startedAt              time.Time
 	done                   chan struct{}
 	// mu guards the fields below.
-	mu     sync.Mutex
-	killed bool
-	// stoppedAt is when the process was sent SIGTERM.
-	stoppedAt time.Time
-	paused    int
-	ready     bool
+	mu sync.Mutex
+	// killed and stopped are set once the process was sent SIGKILL and SIGTERM.
+	killed, stopped bool
+	paused          int
+	ready           bool
 	// stay is how long the front is down after the process, zero for the usual time.
 	stay         time.Duration
 	before, peak level
@@ -100,8 +99,8 @@
 	switch {
 	case s == syscall.SIGKILL:
 		p.killed = true
-	case s == syscall.SIGTERM && p.stoppedAt.IsZero():
-		p.stoppedAt = time.Now()
+	case s == syscall.SIGTERM:
+		p.stopped = true
 	}
 	_ = p.cmd.Process.Signal(s)
 }
@@ -147,10 +146,7 @@
 func (p *process) ending() ending {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := ending{started: p.started, running: !p.ended(), ran: time.Since(p.startedAt), killed: p.killed, stoppedAfter: -1}
-	if !p.stoppedAt.IsZero() {
-		e.stoppedAfter = p.stoppedAt.Sub(p.startedAt)
-	}
+	e := ending{started: p.started, running: !p.ended(), ran: time.Since(p.startedAt), killed: p.killed, stopped: p.stopped, ready: p.ready}
 	if !e.running {
 		e.status, _ = p.cmd.ProcessState.Sys().(syscall.WaitStatus)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -13,8 +13,6 @@
 const (
 	// quiet is how long the fronts rest without callers before their levels are compared.
 	quiet = 3 * time.Second
-	// recovery is the time in which each front must serve again after the last fault.
-	recovery = 12 * time.Second
 )
 
 // Config holds the settings of a run.
@@ -34,6 +32,8 @@
 	GraceSlack time.Duration
 	// ReadyTime is how long a process may take to become ready while nothing disturbs it.
 	ReadyTime time.Duration
+	// RecoveryTime is the time in which each front must serve again after the last fault.
+	RecoveryTime time.Duration
 	// Keep keeps the folder of a run that has not failed.
 	Keep bool
 }
@@ -100,7 +100,7 @@
 	var playing sync.WaitGroup
 	playing.Go(func() { s.play(config.Seed, stop) })
 	s.inject(events, stop)
-	s.recover()
+	s.recover(config.RecoveryTime)
 	time.Sleep(time.Until(s.observer.began.Add(config.Duration)))
 	close(stop)
 	playing.Wait()
@@ -108,10 +108,10 @@
 }
 
 // recover checks that each front serves a request of each kind after the last fault.
-func (s *site) recover() {
+func (s *site) recover(limit time.Duration) {
 	c := &caller{site: s, conns: map[int]*callerConn{}}
 	defer c.close()
-	until := time.Now().Add(recovery)
+	until := time.Now().Add(limit)
 	for i, f := range s.fronts {
 		for kind, r := range map[string]request{
 			"payment": {method: "POST", path: "/pay/1", body: "payment", deadline: usualDeadline},
@@ -123,7 +123,7 @@
 					break
 				}
 				if time.Now().After(until) {
-					s.observer.report("RECOVER", "%s serves no %s %s after the last fault: status %d, %v %.200s", f.name, kind, recovery, a.status, a.err, a.body)
+					s.observer.report("RECOVER", "%s serves no %s %s after the last fault: status %d, %v %.200s", f.name, kind, limit, a.status, a.err, a.body)
 					break
 				}
 				time.Sleep(100 * time.Millisecond)
