--- a/soak/front.go
+++ b/soak/front.go
@@ -131,7 +131,7 @@
 	if f.closed || f.current != after {
 		return nil
 	}
-	if len(f.live) > 0 {
+	if f.livingLocked() > 0 {
 		how.name += " beside a predecessor"
 	}
 	if how.partialSpan > 0 {
@@ -163,12 +163,22 @@
 func (f *front) currentName() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.live) != 1 {
+	if f.livingLocked() != 1 {
 		return ""
 	}
 	return f.current.name
 }
 
+// livingLocked returns the number of processes that have not ended. f.mu must be held.
+func (f *front) livingLocked() (count int) {
+	for p := range f.live {
+		if !p.ended() {
+			count++
+		}
+	}
+	return count
+}
+
 // isReady asks the front whether it is ready.
 func (f *front) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
