Give each caller of the soak a number, and so a random stream, of its own

The race detector found that all callers read one counter while it was being counted up: most of them had the last number, sent equal series of requests and shared the names of programs. go test -race ./soak failed before, in 29 s, and holds now, in 32 s.

--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -39,10 +39,11 @@
 // play runs all callers until stop is closed.
 func (s *site) play(seed uint64, stop <-chan struct{}) {
 	var callers sync.WaitGroup
-	number := uint64(0)
+	count := uint64(0)
 	for _, kind := range traffic {
 		for range kind.count {
-			number++
+			count++
+			number := count
 			callers.Go(func() {
 				random := rand.New(rand.NewPCG(seed, number))
 				c := &caller{site: s, conns: map[int]*callerConn{}}
