Roll software versions out over two endpoints of the soak, some with a late entry

As when a version is rolled out, the next endpoint of the service follows within 400 ms now, and a third of the incarnations write their first entry with their next heartbeat.

--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -110,11 +110,11 @@
 		site: s, id: id, service: service, domain: domain, streaming: streaming, relay: relay, version: "v1",
 		random: rand.New(rand.NewPCG(seed, 7)), away: true,
 	}
-	return e, e.begin(id, "v1")
+	return e, e.begin(id, "v1", false)
 }
 
-// begin starts an incarnation.
-func (e *endpoint) begin(id, version string) error {
+// begin starts an incarnation, whose entry may be late by a heartbeat at most.
+func (e *endpoint) begin(id, version string, late bool) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return Errorf("start endpoint", KindSystem, "%w", err)
@@ -133,7 +133,9 @@
 	e.mu.Unlock()
 	e.relay.SetTarget(listener.Addr().String())
 	go func() { _ = server.Serve(connListener{listener, e}) }()
-	e.announce()
+	if !late {
+		e.announce()
+	}
 	return nil
 }
 
@@ -217,11 +219,12 @@
 		n, _ := strconv.Atoi(strings.TrimPrefix(version, "v"))
 		version = fmt.Sprintf("v%d", n+1)
 	}
+	late := e.random.IntN(3) == 0
 	e.mu.Unlock()
 	if !away {
 		return nil
 	}
-	return e.begin(id, version)
+	return e.begin(id, version, late)
 }
 
 // disrupted notes that the connections of the endpoint are harmed.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -139,19 +140,40 @@
 		target.leave()
 		time.Sleep(e.span)
 		return target.returnAs(true, e.variant%3 == 0)
-	default:
-		target.crash()
-		// A short time away is the usual one of a process that is started again at once.
-		away := e.span
-		if e.variant%3 == 0 {
-			away /= 10
+	case FaultVersion:
+		if err := target.restart(e, false, true); err != nil {
+			return err
 		}
-		time.Sleep(away)
-		return target.returnAs(e.fault == FaultReplace, e.fault == FaultVersion || e.fault == FaultReplace && e.variant%2 == 0)
+		// The next endpoint follows at once, as when a version is rolled out.
+		time.Sleep(time.Duration(e.variant%400) * time.Millisecond)
+		return s.neighbor(target).restart(e, false, true)
+	default:
+		return target.restart(e, e.fault == FaultReplace, e.fault == FaultReplace && e.variant%2 == 0)
 	}
 	return nil
 }
 
+// restart crashes an endpoint and starts its next incarnation.
+func (e *endpoint) restart(f event, newID, newVersion bool) error {
+	e.crash()
+	// A short time away is the usual one of a process that is started again at once.
+	away := f.span
+	if f.variant%3 == 0 {
+		away /= 10
+	}
+	time.Sleep(away)
+	return e.returnAs(newID, newVersion)
+}
+
+// neighbor returns the next endpoint of the same service.
+func (s *site) neighbor(e *endpoint) *endpoint {
+	same := s.services
+	if e.streaming {
+		same = s.engines
+	}
+	return same[(slices.Index(same, e)+1)%len(same)]
+}
+
 // applyToLink harms the connections of an endpoint, or of a front to the store.
 func (s *site) applyToLink(e event) {
 	var relay *wire.Relay
