Wait longer for the read that confirms a version, and record no empty version again

A resumed stream was refused where one version serves, when the read of the entries took more than 150 ms: 503 in place of 200, seen once with the race detector on a machine with a load of 40 to 70 (TestStreamIsResumedWhereOneVersionServes, one of two whole-package runs, then 12 of 12 alone; that the read was late is not shown). The wait is now one second, below the time after which a read fails and below the gap after which callers leave. By review: where entries name an empty version, each event of a stream began to record its origin again; an empty version confirms nothing now.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -11,7 +11,7 @@
 
 const (
 	// confirmTimeout bounds the wait for a read of the registrations before a stream is resumed.
-	confirmTimeout = 150 * time.Millisecond
+	confirmTimeout = time.Second
 	// maxConfirmReads bounds the reads that a request waits for before it is resumed.
 	maxConfirmReads = 3
 )
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -105,10 +105,11 @@
 // pinIfConfirmed keeps the stream at the version of the current target, which has sent an event, if
 // that is confirmed for its connection, and records it if it was not yet.
 func (s *streaming) pinIfConfirmed(ctx context.Context) {
-	if s.version != "" || s.openedAt.IsZero() || !s.Directory.VersionConfirmed(s.target, s.openedAt) {
+	version := s.target.Registration().Version
+	if s.version != "" || version == "" || s.openedAt.IsZero() || !s.Directory.VersionConfirmed(s.target, s.openedAt) {
 		return
 	}
-	s.version = s.target.Registration().Version
+	s.version = version
 	if s.origin == nil {
 		return
 	}
