Move the soak beside the other stand-ins

It plays the platform's store, endpoints and operator, and so knows the platform's names, which nothing outside platform/, deploy/ and the stand-ins may. Moved as it is; its tests pass from there.

--- a/cmd/lavendervale-soak/main.go
+++ b/cmd/lavendervale-soak/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/lavendervale/lavendervale/soak"
+	"github.com/lavendervale/lavendervale/standin/soak"
 )
 
 const (
--- a/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -12,7 +12,7 @@
 // TestSeedsHold plays short schedules of the faults that no entry of KNOWN-RED.txt names.
 func TestSeedsHold(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "lavendervaled")
-	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/lavendervaled").CombinedOutput()
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/lavendervaled").CombinedOutput()
 	require.NoError(t, err, string(output))
 	faults, err := ParseFaults("kill,stop,pause,hangup,crash,replace,break,cut,unframed,late,config,store-slow,link-delay,link-reset")
 	require.NoError(t, err)
