End the write of a request to a front with the request's context

Cause: openExchange tied a stream to the context of its request only after it had written the request. A write waits for the receive window of the stream, 256 KiB at first, so it lasted as long as the other front responded to pings and read nothing. Mesh.Run waits for such a request, that of the records of a lost front, before it closes its sessions: the front did not end.

Test: TestRunEndsWhileAFrontReadsNoRequest, 'Run does not end' after 20 s before, 0.6 s after.

--- a/adapter/mesh/exchange.go
+++ b/adapter/mesh/exchange.go
@@ -27,8 +27,12 @@
 func (m *Mesh) openExchange(ctx context.Context, t target, r *meshpb.Request) (*exchange, error) {
 	r.From = m.config.Name
 	stream, err := m.sessions.Open(ctx, t.address)
+	var detach func() bool
 	if err == nil {
+		// A write waits while the front reads nothing, also if it responds to pings.
+		detach = context.AfterFunc(ctx, func() { session.AbortStream(stream) })
 		if err = frame.NewWriter(stream).Write(r); err != nil {
+			detach()
 			_ = stream.Close()
 		}
 	}
@@ -38,9 +42,7 @@
 		}
 		return nil, Errorf("request to front "+t.name, KindUnreachable, "%w", err)
 	}
-	x := &exchange{mesh: m, target: t, stream: stream, reader: frame.NewReader(stream)}
-	x.detachContext = context.AfterFunc(ctx, func() { session.AbortStream(stream) })
-	return x, nil
+	return &exchange{mesh: m, target: t, stream: stream, reader: frame.NewReader(stream), detachContext: detach}, nil
 }
 
 // probe pings a front that did not answer and reports whether it responded. If not,
