Bound the time to trim a shard

Cause: ShardSet.Run trimmed the shards in turn without a time limit for each call. A store that is silent for a moment never answers the calls of that moment, so no shard expired turns or was trimmed again in the life of the process.

Each call gets LogTimeout, as appends do.

--- a/turn/maintain.go
+++ b/turn/maintain.go
@@ -76,6 +76,9 @@
 	if before == 0 {
 		return
 	}
+	// A log that is silent must not keep other shards from their maintenance.
+	ctx, cancel := context.WithTimeout(ctx, s.set.config.LogTimeout)
+	defer cancel()
 	if err := s.set.config.Log.Trim(ctx, s.number, before); err != nil {
 		s.set.config.Logger.Warn("trimming a shard failed", zap.Int("shard", s.number), zap.Int64("before", before), zap.Error(err))
 	}
--- a/turn/shardset.go
+++ b/turn/shardset.go
@@ -45,7 +45,7 @@
 	// the appends of all shards together within the write rate of the platform.
 	MinAppendInterval time.Duration
 	// LogTimeout limits each append to the log, the wait for the reads before and after
-	// it, and each replication of records.
+	// it, each trimming of a shard, and each replication of records.
 	LogTimeout time.Duration
 	// MaxRecordBytes is the size of the longest record that the log takes; 0 is no limit.
 	MaxRecordBytes int
