Bound the stop of a front by its grace period

Run returns at the latest a third of the reserve for closing before the end of the grace period, 7.67 s of 8 s, and then logs the stacks of all goroutines, 64 KiB at most. Without this a stop takes up to 7.43 s: the drain, the closing of connections and the last gossip.

Read, each with its bound: drain (drainTime, then closeCtx), Ingress.Close (its lock is held over changes of deadlines only; its wait ends with closeCtx), http.Server.Shutdown and Close (wait for Serve, which ends with the listener), ShardSet.Flush (closeCtx), registration and polls of the store (1.2 s each, ended by the context), gossip (its socket closes 0.1 s after the context), sessions (dials end with their context; yamux closes its connection first), the log (Sync 0.2 s, writes in the background).

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -93,6 +93,8 @@
 	listeners      listeners
 	ingress        *platform.Ingress
 	registry       *prometheus.Registry
+	// parts holds what runs until its context ends.
+	parts []func(context.Context)
 	// started is set once the front has loaded its own shards and knows the routes and the
 	// endpoints; guarded by mu.
 	started bool
@@ -164,6 +166,7 @@
 		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
+	f.parts = []func(context.Context){f.mesh.Run, f.storeWatch.Run, f.versionHistory.Run, f.endpointClient.Run, f.shardSet.Run, f.register, f.start}
 }
 
 // newLimiter returns the limiter of the buffers of requests in progress, with its metrics.
@@ -190,7 +193,8 @@
 }
 
 // Run serves until ctx ends, then waits up to the grace period for the requests in
-// progress. When a listener fails, Run stops without draining and returns its error.
+// progress. When a listener fails, Run stops without draining and returns its error. It
+// returns within the grace period, also if a part of the front does not end.
 func (f *Front) Run(ctx context.Context) error {
 	c := f.config
 	c.Logger.Info("front starts", zap.String("version", lavendervale.Version), zap.String("revision", revision()), zap.String("domain", c.Domain),
@@ -201,33 +205,38 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	serveErrs := make(chan error, 3)
-	wg.Go(func() { f.mesh.Run(workCtx) })
-	wg.Go(func() { f.storeWatch.Run(workCtx) })
-	wg.Go(func() { f.versionHistory.Run(workCtx) })
-	wg.Go(func() { f.endpointClient.Run(workCtx) })
-	wg.Go(func() { f.shardSet.Run(workCtx) })
-	wg.Go(func() { f.register(workCtx) })
-	wg.Go(func() { f.start(workCtx) })
+	for _, part := range f.parts {
+		wg.Go(func() { part(workCtx) })
+	}
 	wg.Go(func() { serveErrs <- f.ingress.Serve() })
 	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), c.Logger, serveErrs)}
 	if metricsListener := f.listeners.metrics; metricsListener != nil {
 		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), c.Logger, serveErrs))
 	}
 	var err error
+	drains, ended := false, make(chan struct{})
 	select {
 	case <-ctx.Done():
-		f.drain(context.Cause(ctx))
+		drains = true
 	case err = <-serveErrs:
 		c.Logger.Error("serving a listener of the front failed", zap.Error(err))
-		closeCtx, cancelClose := context.WithTimeout(context.Background(), f.exitReserve())
-		f.ingress.Close(closeCtx)
-		cancelClose()
-	}
-	cancel()
-	for _, s := range httpServers {
-		_ = s.Close()
 	}
-	wg.Wait()
+	go func() {
+		defer close(ended)
+		if drains {
+			f.drain(context.Cause(ctx))
+		} else {
+			closeCtx, cancelClose := context.WithTimeout(context.Background(), f.exitReserve())
+			defer cancelClose()
+			f.ingress.Close(closeCtx)
+		}
+		cancel()
+		for _, s := range httpServers {
+			_ = s.Close()
+		}
+		wg.Wait()
+	}()
+	f.awaitEnd(ended)
 	c.Logger.Info("front has stopped", zap.Error(err))
 	return err
 }
--- a/daemon/front_lifecycle.go
+++ b/daemon/front_lifecycle.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"runtime/pprof"
 	"sync"
 	"time"
 
@@ -36,6 +38,11 @@
 	// isolatedAfter is how long the store may be unreachable until a front that has no
 	// other front to relay through reports that it is not ready.
 	isolatedAfter = 1500 * time.Millisecond
+	// closeMargin is the part of the reserve for closing that is left for the end of the process when a
+	// part of the front does not end.
+	closeMargin = 1.0 / 3
+	// maxStacksBytes bounds the log line about goroutines that have not ended.
+	maxStacksBytes = 64 << 10
 	// unregisterTimeout bounds the removal of a front that stops from the store's list.
 	unregisterTimeout = 500 * time.Millisecond
 )
@@ -168,3 +175,18 @@
 	f.ingress.Close(closeCtx)
 	f.shardSet.Flush(closeCtx)
 }
+
+// awaitEnd waits until the front has ended, up to the grace period without closeMargin of its reserve.
+// It logs what each goroutine waits for if the front has not ended by then.
+func (f *Front) awaitEnd(ended <-chan struct{}) {
+	limit := f.config.GracePeriod - time.Duration(closeMargin*float64(f.exitReserve()))
+	select {
+	case <-ended:
+	case <-time.After(limit):
+		var stacks bytes.Buffer
+		if err := pprof.Lookup("goroutine").WriteTo(&stacks, 1); err != nil {
+			f.config.Logger.Warn("listing goroutines failed", zap.Error(err))
+		}
+		f.config.Logger.Error("front has not stopped in time and ends all the same", zap.Duration("after", limit), zap.ByteString("goroutines", stacks.Next(maxStacksBytes)))
+	}
+}
