Refuse programs that begin while engines are full

Change: package overload decides whether a turn that begins its program is placed, waits or is refused with a Retry-After. The home of the program tells whether it has begun (turn.Admission.Begun, Opened.begun). Beginnings take free slots only, go after turns of begun programs (dispatch.Priority.Begins), and wait while the load of the service is at its limit (endpoint.Query.MaxLoad), at most a quarter of the route's latency target. endpoint.Directory.Capacity gives slots, running requests and the age of the oldest report in one call; the sum is kept up to date with each change and made anew every 5 ms. Settings: [overload] admission and load, [platform] contracts.

TestPeerLoadsAddUp and three more tests read the fields of Capacity in place of its two results; what they compare is the same.

--- a/adapter/inifile/front.go
+++ b/adapter/inifile/front.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"github.com/lavendervale/lavendervale/daemon"
+	"github.com/lavendervale/lavendervale/overload"
+	"github.com/lavendervale/lavendervale/platform"
 )
 
 const (
@@ -11,6 +13,12 @@
 	maxShards = 4096
 	// minRecordBytes is the least size of a record that the log has to take.
 	minRecordBytes = 4 << 10
+	// admissionQueue and admissionRefuse are the values of the key admission: programs that begin wait
+	// while engines are full, or are refused.
+	admissionQueue, admissionRefuse = "queue", "refuse"
+	// maxAdmissionLoad is the greatest load up to which programs may begin; engines hold no more than
+	// three requests beyond their slots.
+	maxAdmissionLoad = 2
 )
 
 // readFront parses the settings of a front.
@@ -38,10 +46,28 @@
 	config.StoreWriteRate = storeSection.positiveNumber("writes", 0)
 	config.MaxRecordBytes = int(storeSection.integer("record_bytes", daemon.DefaultRecordBytes, minRecordBytes, math.MaxInt32))
 	storeSection.checkKeys()
+	readOverload(f, config)
 	readLog(f, settings)
-	if err := f.checkSections("read settings", "[process]", "[listen]", "[store]", "[log]"); err != nil {
+	if err := f.checkSections("read settings", "[process]", "[listen]", "[store]", "[platform]", "[overload]", "[log]"); err != nil {
 		return nil, err
 	}
 	settings.front = config
 	return settings, nil
 }
+
+// readOverload parses what is done while engines are full. An explicit setting goes before what the
+// contracts of the platform call for.
+func readOverload(f *file, config *daemon.FrontConfig) {
+	platformSection := f.section("platform")
+	features := platform.FeaturesOf(platformSection.list("contracts"))
+	platformSection.checkKeys()
+	overloadSection := f.section("overload")
+	admission := admissionQueue
+	if features.AdmissionControl {
+		admission = admissionRefuse
+	}
+	config.RefuseWhenFull = overloadSection.enum("admission", admission, admissionQueue, admissionRefuse) == admissionRefuse
+	config.AdmissionLoad = overloadSection.numberUpTo("load", overload.DefaultLoad, maxAdmissionLoad)
+	config.FairShares = features.FairShares
+	overloadSection.checkKeys()
+}
--- a/adapter/inifile/front_test.go
+++ b/adapter/inifile/front_test.go
@@ -36,6 +36,13 @@
 		{name: "unknown key", old: "shards = 12", new: "shard = 12", want: "shard"},
 		{name: "unknown section", old: "[log]", new: "[logs]", want: "logs"},
 		{name: "key outside any section", old: "[process]\n", new: "colour = blue\n[process]\n", want: "front.ini:3: colour: outside any section"},
+		{name: "no such admission", old: "admission = queue", new: "admission = refuses", want: "[overload] admission"},
+		{name: "load of zero", old: "load = 0.9", new: "load = 0", want: "[overload] load"},
+		{name: "negative load", old: "load = 0.9", new: "load = -1", want: "[overload] load"},
+		{name: "load beyond what engines hold", old: "load = 0.9", new: "load = 2.01", want: "[overload] load"},
+		{name: "load that is no number", old: "load = 0.9", new: "load = NaN", want: "[overload] load"},
+		{name: "unknown key of overload", old: "load = 0.9", new: "limit = 0.9", want: "[overload] limit"},
+		{name: "unknown key of platform", old: "contracts = signed", new: "contract = signed", want: "[platform] contract"},
 		{name: "too little memory", old: "memory = 256", new: "memory = 1", want: "memory"},
 	}
 	for _, test := range tests {
@@ -45,3 +52,48 @@
 		})
 	}
 }
+
+// TestContractsTurnOnAdmissionControl guards against a platform whose contracts call for admission
+// control and that does not get it, against earlier platforms that do, and against an explicit setting
+// that the contracts override.
+func TestContractsTurnOnAdmissionControl(t *testing.T) {
+	text, err := os.ReadFile("../../examples/settings-front.ini")
+	require.NoError(t, err)
+	const admission = "admission = queue\n"
+	tests := []struct {
+		name, contracts, admission string
+		refuse, shares             bool
+	}{
+		{name: "no contracts"},
+		{name: "empty elements", contracts: " , ,"},
+		{name: "other contracts", contracts: "signed, capped"},
+		{name: "contract", contracts: "signed,pressure,capped", refuse: true, shares: true},
+		{name: "only a part of its name", contracts: "pressures"},
+		{name: "queue in spite of the contract", contracts: "pressure", admission: "admission = queue\n", shares: true},
+		{name: "refuse without a contract", admission: "admission = refuse\n", refuse: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			changed := strings.Replace(string(text), "contracts = signed,capped\n", "contracts = "+test.contracts+"\n", 1)
+			changed = strings.Replace(changed, admission, test.admission, 1)
+			s, err := inifile.ReadSettings("front.ini", []byte(changed))
+			require.NoError(t, err)
+			require.Equal(t, test.refuse, s.Front().RefuseWhenFull)
+			require.Equal(t, test.shares, s.Front().FairShares)
+			require.Equal(t, 0.9, s.Front().AdmissionLoad)
+		})
+	}
+}
+
+// TestSettingsOfEarlierDeploymentsKeepTheQueue guards against fronts that refuse programs because their
+// settings have neither section.
+func TestSettingsOfEarlierDeploymentsKeepTheQueue(t *testing.T) {
+	text, err := os.ReadFile("../../examples/settings-front.ini")
+	require.NoError(t, err)
+	before, _, found := strings.Cut(string(text), "[platform]")
+	require.True(t, found)
+	s, err := inifile.ReadSettings("front.ini", []byte(before))
+	require.NoError(t, err)
+	require.False(t, s.Front().RefuseWhenFull)
+	require.False(t, s.Front().FairShares)
+}
--- a/adapter/inifile/section.go
+++ b/adapter/inifile/section.go
@@ -132,13 +132,19 @@
 // positiveNumber returns a number above 0 and at most 1e12, or defaultValue if the key is
 // missing or its value invalid.
 func (s *section) positiveNumber(key string, defaultValue float64) float64 {
+	return s.numberUpTo(key, defaultValue, 1e12)
+}
+
+// numberUpTo returns a number above 0 and at most high, or defaultValue if the key is missing or its
+// value invalid.
+func (s *section) numberUpTo(key string, defaultValue, high float64) float64 {
 	v, ok := s.value(key)
 	if !ok {
 		return defaultValue
 	}
 	n, err := strconv.ParseFloat(v, 64)
-	if err != nil || !(n > 0) || n > 1e12 {
-		s.addProblem(key, v, "a number above 0 and at most 1e12")
+	if err != nil || !(n > 0) || n > high {
+		s.addProblem(key, v, "a number above 0 and at most "+strconv.FormatFloat(high, 'g', -1, 64))
 		return defaultValue
 	}
 	return n
--- a/adapter/mesh/departures_test.go
+++ b/adapter/mesh/departures_test.go
@@ -84,6 +84,6 @@
 		g.Departures = append(g.Departures, &meshpb.EndpointDeparture{Endpoint: endpoint.Key(string(rune('A' + id)))})
 	}
 	m.handleGossip(g, "127.0.0.1:1", time.Now(), time.Now())
-	free, _ := m.config.Directory.Capacity("s", time.Now())
+	free := m.config.Directory.Capacity("s", time.Now()).Free
 	require.Equal(t, maxGossipDepartures, free)
 }
--- a/adapter/mesh/home_test.go
+++ b/adapter/mesh/home_test.go
@@ -78,6 +78,27 @@
 	assert.NoError(t, err, "the shard is loaded within %v", loadTime)
 }
 
+// TestHomeTellsWhetherAProgramHasBegun guards against turns of begun programs that are refused as
+// beginnings because their home is another front.
+func TestHomeTellsWhetherAProgramHasBegun(t *testing.T) {
+	front, home, log := newFrontAndHome(t)
+	log.SetReadDelay(0)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for _, m := range []*Mesh{front, home} {
+		program := "p-" + m.config.Name
+		first, err := m.Begin(ctx, turn.BeginRequest{Program: program, Attempt: program + "-a", BudgetTokens: 100, MaxTokens: 10})
+		require.NoError(t, err)
+		assert.False(t, first.Begun(), "first turn at %s", m.config.Name)
+		require.NoError(t, m.End(ctx, turn.EndRequest{Program: program, Attempt: program + "-a", DeliveredTokens: 10}))
+		second, err := m.Begin(ctx, turn.BeginRequest{Program: program, Attempt: program + "-b", BudgetTokens: 100, MaxTokens: 10})
+		require.NoError(t, err)
+		assert.True(t, second.Begun(), "second turn at %s", m.config.Name)
+	}
+	// A home of an earlier version does not tell.
+	assert.True(t, (&remoteAdmission{continues: true, opened: &meshpb.Opened{}}).Begun(), "turn that continues another one")
+}
+
 // TestTurnIsNotFoundOnlyIfEveryHomeIsAsked guards against 404 for a turn of a shard whose home
 // was suspended while the search began.
 func TestTurnIsNotFoundOnlyIfEveryHomeIsAsked(t *testing.T) {
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return h.replyFault(err)
 	}
-	opened := &meshpb.Opened{Text: t.Text(), Endpoint: t.Endpoint()}
+	opened := &meshpb.Opened{Text: t.Text(), Endpoint: t.Endpoint(), Begun: t.Begun()}
 	if err := h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Opened{Opened: opened}}); err != nil {
 		return err
 	}
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -121,6 +121,8 @@
 type remoteAdmission struct {
 	exchange *exchange
 	opened   *meshpb.Opened
+	// continues is set if the attempt continues an earlier turn.
+	continues bool
 	// confirmed is closed when the record is durable or has failed.
 	confirmed chan struct{}
 	// err is why the record failed, nil when it is durable; valid once confirmed is
@@ -141,7 +143,7 @@
 		x.close()
 		return nil, err
 	}
-	admission := &remoteAdmission{exchange: x, opened: reply.GetOpened(), confirmed: make(chan struct{})}
+	admission := &remoteAdmission{exchange: x, opened: reply.GetOpened(), continues: r.Previous != "", confirmed: make(chan struct{})}
 	go admission.awaitConfirmation(ctx)
 	return admission, nil
 }
@@ -164,6 +166,10 @@
 // Endpoint returns the endpoint that holds the conversation, empty if unknown.
 func (r *remoteAdmission) Endpoint() string { return r.opened.GetEndpoint() }
 
+// Begun reports whether the home knew of an earlier turn or token of the program. A turn that continues
+// another one belongs to a begun program also if the home is of an older version and does not tell.
+func (r *remoteAdmission) Begun() bool { return r.continues || r.opened.GetBegun() }
+
 // Wait returns when the record of the attempt is durable. Its error is why the record
 // failed, or of turn.KindUnavailable when ctx ends first.
 func (r *remoteAdmission) Wait(ctx context.Context) error {
--- a/cmd/lavendervaled/run_test.go
+++ b/cmd/lavendervaled/run_test.go
@@ -79,6 +79,7 @@
 			"role = service", "name = front-2", "domain = b", "grace = 9s", "memory = 257", "processors = 0.9",
 			"callers = 127.0.0.1:1", "ready = 127.0.0.1:1", "peers = 127.0.0.1:1", "metrics = 127.0.0.1:1",
 			"address = 127.0.0.1:1", "shards = 13", "writes = 801", "record_bytes = 262145", "level = warn", "format = console",
+			"contracts = pressure", "admission = refuse", "load = 0.8",
 		}},
 		{file: "settings-entry.ini", changes: []string{
 			"name = entry-2", "domain = domain-b", "role = engine", "stop-timeout = 6m", "callers = 127.0.0.1:1", "admin = 127.0.0.1:1",
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -20,6 +20,7 @@
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/gateway"
 	"github.com/lavendervale/lavendervale/memory"
+	"github.com/lavendervale/lavendervale/overload"
 	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/route"
 	"github.com/lavendervale/lavendervale/turn"
@@ -57,6 +58,13 @@
 	// QuotaSpan is the length of the spans in which quotas of customers hold; 0 is
 	// DefaultQuotaSpan.
 	QuotaSpan time.Duration
+	// RefuseWhenFull refuses programs that begin while engines are full; otherwise they wait.
+	RefuseWhenFull bool
+	// AdmissionLoad is the ratio of running requests to the slots of engines from which on programs
+	// wait to begin, with RefuseWhenFull; 0 is overload.DefaultLoad.
+	AdmissionLoad float64
+	// FairShares refuses first programs of customers over their fair share, with RefuseWhenFull.
+	FairShares bool
 	// Logger receives what the process reports; nil discards it.
 	Logger *zap.Logger
 	// DroppedLines returns the number of lines that the log has lost; nil if that is not known.
@@ -161,11 +169,23 @@
 	f.versionHistory = platform.NewVersionHistory(platform.VersionHistoryConfig{Store: f.store, Directory: f.directory, IsRecorder: f.mesh.IsRecorder, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
-		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
+		TurnTracker: f.mesh, Overload: f.newOverload(), CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
 }
 
+// newOverload returns the admission control of programs, with its metric, or nil if it is off.
+func (f *Front) newOverload() *overload.Controller {
+	if !f.config.RefuseWhenFull {
+		return nil
+	}
+	controller := overload.New(overload.Config{Load: f.config.AdmissionLoad, Directory: f.directory})
+	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lavendervale_engine_load_ratio", Help: "Greatest ratio of running requests to slots among the services where programs began lately.",
+	}, func() float64 { return controller.LoadRatio(time.Now()) }))
+	return controller
+}
+
 // newLimiter returns the limiter of the buffers of requests in progress, with its metrics.
 func (f *Front) newLimiter() *memory.Limiter {
 	limiter := memory.New(memory.Config{CapacityBytes: int64(bufferRatio * float64(f.config.MemoryMB) * (1 << 20))})
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -53,6 +53,7 @@
 // lineKey is what determines, for the requests of one service, whether an endpoint is free.
 type lineKey struct {
 	maxQueued int
+	maxLoad   float64
 	once      bool
 	version   string
 	// excludedIDs are the sorted IDs of the excluded endpoints.
@@ -60,7 +61,7 @@
 }
 
 func lineKeyOf(q endpoint.Query) lineKey {
-	k := lineKey{maxQueued: q.MaxQueued, once: q.Once, version: q.Version}
+	k := lineKey{maxQueued: q.MaxQueued, maxLoad: q.MaxLoad, once: q.Once, version: q.Version}
 	if len(q.ExcludedIDs) > 0 {
 		k.excludedIDs = strings.Join(slices.Sorted(maps.Keys(q.ExcludedIDs)), "\x00")
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -16,6 +16,10 @@
 	// requests of equal rank, those that can are served first: late ones earn little, and
 	// would make the others late too.
 	Late bool
+	// Begins is set if the request begins its program. Of requests that are equal in rank and
+	// lateness, those of begun programs are served first: what these have used is lost if they are
+	// late.
+	Begins bool
 	// DueAt is when the request or its program should be finished. Of requests that are equal
 	// otherwise, the one that is due first is served first.
 	DueAt time.Time
@@ -33,14 +37,17 @@
 	if p.Late != other.Late {
 		return other.Late
 	}
+	if p.Begins != other.Begins {
+		return other.Begins
+	}
 	return p.DueAt.Before(other.DueAt)
 }
 
 // Directory selects endpoints. It is implemented by *endpoint.Directory.
 type Directory interface {
 	// Pick selects an endpoint for a request and counts the request as running there. Of
-	// the query, only Service, MaxQueued, Once, Version and ExcludedIDs determine whether an
-	// endpoint is free; the other fields determine which one is selected.
+	// the query, only Service, MaxQueued, MaxLoad, Once, Version and ExcludedIDs determine whether
+	// an endpoint is free; the other fields determine which one is selected.
 	Pick(q endpoint.Query, now time.Time) (endpoint.Target, endpoint.PickResult)
 	// LimitedThroughput returns the rate at which requests of a kind can be sent to a
 	// service, or false if none of its endpoints names a rate limit.
--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -58,6 +58,64 @@
 	})
 }
 
+// TestPriorityOfBeginnings guards against programs that begin before the turns of programs that have
+// spent engine time already, and against a begun program of low rank or without a chance to be in time
+// that keeps others from beginning.
+func TestPriorityOfBeginnings(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name          string
+		first, second dispatch.Priority
+	}{
+		{name: "begun program with more time", first: dispatch.Priority{DueAt: now.Add(time.Hour)}, second: dispatch.Priority{Begins: true, DueAt: now}},
+		{name: "rank goes first", first: dispatch.Priority{Begins: true, Rank: 0}, second: dispatch.Priority{Rank: 1}},
+		{name: "lateness goes first", first: dispatch.Priority{Begins: true}, second: dispatch.Priority{Late: true}},
+		{name: "both begin", first: dispatch.Priority{Begins: true, DueAt: now}, second: dispatch.Priority{Begins: true, DueAt: now.Add(time.Second)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.True(t, test.first.Before(test.second))
+			require.False(t, test.second.Before(test.first))
+		})
+	}
+}
+
+// TestQueueKeepsSlotsForBegunPrograms guards against beginnings that take the slots above their load
+// limit, or that keep those for begun programs from being used.
+func TestQueueKeepsSlotsForBegunPrograms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(4)
+		q := dispatch.New(d)
+		beginning := endpoint.Query{Service: "s", MaxLoad: 0.7}
+		var targets []endpoint.Target
+		for range 3 {
+			target, err := q.Acquire(t.Context(), dispatch.Priority{Begins: true}, beginning)
+			require.NoError(t, err)
+			targets = append(targets, target)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := q.Acquire(ctx, dispatch.Priority{Begins: true}, beginning)
+		require.Equal(t, dispatch.KindTimeout, dispatch.KindOf(err))
+		_, err = q.Acquire(t.Context(), dispatch.Priority{}, query)
+		require.NoError(t, err, "a begun program")
+		admitted := make(chan error)
+		go func() {
+			_, err := q.Acquire(t.Context(), dispatch.Priority{Begins: true}, beginning)
+			admitted <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		d.Release(targets[0])
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, 1, q.Waiting("s"), "the load is still above the limit")
+		released := time.Now()
+		d.Release(targets[1])
+		require.NoError(t, <-admitted)
+		require.Zero(t, time.Since(released), "a free slot must not wait for the next try")
+		time.Sleep(time.Second)
+	})
+}
+
 func TestQueueRefusesAtOnceWithoutEndpoints(t *testing.T) {
 	q := dispatch.New(endpoint.NewDirectory())
 	_, err := q.Acquire(t.Context(), dispatch.Priority{}, query)
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -45,6 +45,8 @@
 	// mixedUntil is until when a service has several versions according to other instances,
 	// by the Key of its name.
 	mixedUntil map[uint64]time.Time
+	// capacities holds the capacities of services that were asked for, by their names.
+	capacities map[string]*sampledCapacity
 	// departures holds the latest known departure of each endpoint, by the Key of its ID.
 	departures map[uint64]knownDeparture
 	// changed is closed and replaced by notifyChanged.
@@ -57,7 +59,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		byID: map[string]*Endpoint{}, byKey: map[uint64]*Endpoint{}, byService: map[string][]*Endpoint{}, peers: newPeerLoads(), typicalTimes: map[string]time.Duration{},
-		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]knownDeparture{},
+		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]knownDeparture{}, capacities: map[string]*sampledCapacity{},
 		changed: make(chan struct{}),
 	}
 }
@@ -85,6 +87,7 @@
 		}
 		return changed
 	}
+	delete(d.capacities, r.Service)
 	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State, addedAt: now, tenure: &tenure{since: now}}
 	if ok {
 		added.tenure = d.succeed(old, r, now)
@@ -230,6 +233,7 @@
 	d.versions.remove(e.registration, lastPresent)
 	delete(d.byID, e.registration.ID)
 	delete(d.byKey, e.key)
+	delete(d.capacities, e.registration.Service)
 	endpoints := d.byService[e.registration.Service]
 	for i, other := range endpoints {
 		if other == e {
--- a/endpoint/directory_test.go
+++ b/endpoint/directory_test.go
@@ -47,9 +47,9 @@
 	require.Equal(t, "e-1", target.ID())
 	later := noon.Add(10 * time.Second)
 	d.UpdatePeerLoads("front-3", nil, later)
-	free, slots := d.Capacity("s", later)
-	require.Equal(t, 3, free, "an expired load report must not count")
-	require.Equal(t, 4, slots)
+	capacity := d.Capacity("s", later)
+	require.Equal(t, 3, capacity.Free, "an expired load report must not count")
+	require.Equal(t, 4, capacity.Slots)
 }
 
 // TestLoadReportOfSilentInstanceExpires guards against the load of an instance that is gone
@@ -65,7 +65,7 @@
 			return result == endpoint.Picked
 		}},
 		{name: "capacity", hasRoom: func(d *endpoint.Directory, now time.Time) bool {
-			free, _ := d.Capacity("s", now)
+			free := d.Capacity("s", now).Free
 			return free > 0
 		}},
 	}
@@ -156,7 +156,7 @@
 	require.Equal(t, endpoint.Picked, result)
 	e.StartedUnixMS = 300
 	require.True(t, d.Put(e, noon), "a new incarnation must replace the endpoint, without its load")
-	free, _ := d.Capacity("s", noon)
+	free := d.Capacity("s", noon).Free
 	require.Equal(t, 2, free)
 	e.StartedUnixMS = 200
 	require.False(t, d.Put(e, noon), "a registration of the previous incarnation must be ignored")
@@ -265,7 +265,7 @@
 			d.Put(largeRegistration(time.Second), noon.Add(time.Second))
 			current := pick(t, d, later.Add(-10*time.Millisecond))
 			test.report(d, old, current)
-			free, _ := d.Capacity("s", later)
+			free := d.Capacity("s", later).Free
 			require.Equal(t, test.wantRunning, 100-free)
 			other := registration("e-1")
 			other.Domain, other.Slots = "b", 1
--- a/endpoint/leaving_test.go
+++ b/endpoint/leaving_test.go
@@ -72,7 +72,7 @@
 			test.change(d, target)
 			_, result := d.Pick(endpoint.Query{Service: "s"}, noon.Add(5*time.Second))
 			require.Equal(t, test.usable, result == endpoint.Picked)
-			free, _ := d.Capacity("s", noon.Add(5*time.Second))
+			free := d.Capacity("s", noon.Add(5*time.Second)).Free
 			require.Equal(t, test.usable, free > 0)
 		})
 	}
--- a/endpoint/limit.go
+++ b/endpoint/limit.go
@@ -146,7 +146,9 @@
 	defer d.mu.Unlock()
 	if e, ok := d.find(t); ok {
 		e.limit.permitPending, e.limit.blockedUntil = false, now.Add(min(wait, maxPermitBlock))
-		e.localRunning = max(0, e.localRunning-1)
+		if e.localRunning > 0 {
+			d.setRunning(e, e.localRunning-1, e.peerRunning, now)
+		}
 		d.notifyChanged()
 	}
 }
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -94,20 +94,20 @@
 	defer d.mu.Unlock()
 	previous := d.peers.reports[peer].loads
 	d.peers.replace(peer, loads, now)
-	d.applyPeerLoads(previous)
-	d.applyPeerLoads(loads)
+	d.applyPeerLoads(previous, now)
+	d.applyPeerLoads(loads, now)
 	d.expirePeerLoads(now)
 	d.notifyChanged()
 }
 
 // expirePeerLoads removes load reports that have expired; d.mu must be held.
-func (d *Directory) expirePeerLoads(now time.Time) { d.applyPeerLoads(d.peers.expire(now)) }
+func (d *Directory) expirePeerLoads(now time.Time) { d.applyPeerLoads(d.peers.expire(now), now) }
 
 // applyPeerLoads brings the endpoints of changed loads up to date; d.mu must be held.
-func (d *Directory) applyPeerLoads(changed []Load) {
+func (d *Directory) applyPeerLoads(changed []Load, now time.Time) {
 	for _, l := range changed {
 		if e, ok := d.byKey[l.Endpoint]; ok {
-			e.peerRunning = d.peers.running[l.Endpoint]
+			d.setRunning(e, e.localRunning, d.peers.running[l.Endpoint], now)
 		}
 	}
 }
@@ -118,8 +118,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e, ok := d.find(t); ok && e.localRunning > 0 {
-		e.localRunning--
-		e.idle.add(time.Now())
+		now := time.Now()
+		d.setRunning(e, e.localRunning-1, e.peerRunning, now)
+		e.idle.add(now)
 		d.notifyChanged()
 	}
 }
--- a/endpoint/load_test.go
+++ b/endpoint/load_test.go
@@ -51,7 +51,7 @@
 						}
 					}
 				}
-				free, _ := d.Capacity(fmt.Sprint("s-", id), now)
+				free := d.Capacity(fmt.Sprint("s-", id), now).Free
 				require.Equal(t, want, free, "seed %d, endpoint %d", seed, id)
 			}
 		}
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -11,6 +11,9 @@
 	Service string
 	// MaxQueued is how many requests beyond its slots an endpoint may hold.
 	MaxQueued int
+	// MaxLoad is the ratio of running requests to slots, over all usable endpoints of the service, from
+	// which on none has room; 0 is no bound.
+	MaxLoad float64
 	// LocalDomain is the failure domain of this instance; endpoints in it have a lower cost.
 	LocalDomain string
 	// Kind groups requests that take about the same time, such as those of one route.
@@ -53,6 +56,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expirePeerLoads(now)
+	if q.MaxLoad > 0 && d.capacity(q.Service, now).Load() >= q.MaxLoad {
+		return Target{}, AllBusy
+	}
 	endpoints := d.byService[q.Service]
 	best, result := d.pick(endpoints, q, now, d.canEject(endpoints, q, now))
 	if best == nil && result == NoneUsable {
@@ -61,7 +67,7 @@
 	if best == nil {
 		return Target{}, result
 	}
-	best.localRunning++
+	d.setRunning(best, best.localRunning+1, best.peerRunning, now)
 	best.idle.take()
 	best.limit.permitPending = best.limit.Named
 	return Target{endpoint: best, registration: best.registration, kind: q.Kind, pickedAt: now, limit: best.limit.Limit}, Picked
@@ -110,19 +116,3 @@
 	}
 	return nil, result
 }
-
-// Capacity returns the number of free slots at the usable endpoints of a service, and the
-// number of all their slots.
-func (d *Directory) Capacity(service string, now time.Time) (free, slots int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.expirePeerLoads(now)
-	for _, e := range d.byService[service] {
-		if !d.usable(e, now) {
-			continue
-		}
-		slots += e.registration.Slots
-		free += max(0, e.registration.Slots-e.load())
-	}
-	return free, slots
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/overload"
 	"github.com/lavendervale/lavendervale/permit"
 	"github.com/lavendervale/lavendervale/quarantine"
 	"github.com/lavendervale/lavendervale/route"
@@ -27,6 +28,8 @@
 	Directory *endpoint.Directory
 	// Queue holds requests that wait for an endpoint.
 	Queue *dispatch.Queue
+	// Overload decides which programs begin while engines are full; nil admits all.
+	Overload *overload.Controller
 	// Transport sends requests to endpoints.
 	Transport Transport
 	// Registrations reads the registrations of endpoints when a stream can't wait for it.
@@ -135,6 +138,10 @@
 	quotaGrant *permit.Grant
 	// turnBegun is set if TurnTracker.Begin succeeded, so that End has to follow.
 	turnBegun bool
+	// beginning and admissionResult tell what became of a turn that begins its program; they are not
+	// set if it is not subject to admission control.
+	beginning       *overload.Beginning
+	admissionResult admissionResult
 	// eventCount is the number of events passed to the caller, without empty ones.
 	eventCount int
 }
@@ -222,10 +229,16 @@
 // looks for another endpoint if that one has stopped taking requests meanwhile. It stores the
 // endpoint in c.target; the caller must release the target.
 func (c *call) acquire(ctx context.Context, query endpoint.Query, priority dispatch.Priority) error {
+	return c.acquireWithin(ctx, ctx, query, priority)
+}
+
+// acquireWithin is acquire with another context for the wait in the queue. The wait for a permit must not
+// be cut short by it: an issuer that gives no answer keeps all requests from the endpoint for a while.
+func (c *call) acquireWithin(ctx, queueCtx context.Context, query endpoint.Query, priority dispatch.Priority) error {
 	started := time.Now()
 	defer func() { c.queueTime += time.Since(started) }()
 	for {
-		t, err := c.Queue.Acquire(ctx, priority, query)
+		t, err := c.Queue.Acquire(queueCtx, priority, query)
 		if err != nil {
 			return err
 		}
@@ -304,6 +317,7 @@
 	if c.holder != "" {
 		fields = append(fields, zap.String("holder", c.holder))
 	}
+	fields = append(fields, c.admissionFields()...)
 	if c.eventCount > 0 {
 		fields = append(fields, zap.Int("events", c.eventCount), zap.Duration("first", c.firstEventTime))
 	}
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -109,6 +109,7 @@
 
 func (freeAdmission) Text() []byte               { return nil }
 func (freeAdmission) Endpoint() string           { return "" }
+func (freeAdmission) Begun() bool                { return true }
 func (freeAdmission) Wait(context.Context) error { return nil }
 
 // TestStreamsWithoutEndHoldBoundedMemory guards against fronts that are ended because they exceed
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,8 @@
 	firstEventTime prometheus.Histogram
 	hedges         prometheus.Counter
 	permits        *prometheus.CounterVec
+	// admissions counts the turns that begin their programs by admissionResult.
+	admissions *prometheus.CounterVec
 	// leavingResponses counts responses of endpoints that say they leave.
 	leavingResponses prometheus.Counter
 	// unconfirmed counts streams at endpoints whose version was not confirmed: begun there, or not
@@ -52,13 +54,16 @@
 	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lavendervale_permits_total", Help: "Permits asked for at endpoints that name a rate limit, by result.",
 	}, []string{"result"})
+	m.admissions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavendervale_admission_total", Help: "Turns that begin their programs, by what admission control made of them.",
+	}, []string{"result"})
 	m.leavingResponses = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "lavendervale_leaving_responses_total", Help: "Responses of endpoints that say they leave.",
 	})
 	m.unconfirmed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lavendervale_unconfirmed_versions_total", Help: "Streams begun, or not resumed, at an endpoint of which it was not confirmed that it still has the version of its entry.",
 	}, []string{"stream"})
-	r.MustRegister(m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
+	r.MustRegister(m.admissions, m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
 	return m
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
+	"github.com/lavendervale/lavendervale/overload"
 	"github.com/lavendervale/lavendervale/route"
 )
 
@@ -215,5 +216,8 @@
 	if dispatch.KindOf(err) == dispatch.KindOverload {
 		wait = dispatch.RetryAfter(err)
 	}
+	if after, ok := overload.RetryAfter(err); ok {
+		wait = after
+	}
 	return min(wait, remaining/4)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,6 +65,8 @@
 	// latest one, or nil.
 	originSequence uint32
 	origin         *originRecord
+	// admissionDecided is set once it has been decided whether the turn may begin its program.
+	admissionDecided bool
 	// headSent is set once the caller has received the head of the stream.
 	headSent bool
 	// text is what the turn adds to the conversation: the request body, then the data of each event
@@ -77,7 +79,7 @@
 // it is complete. If it is not, the caller has received a response or the connection is aborted.
 func (s *streaming) run(ctx context.Context) bool {
 	for {
-		if err := s.acquire(ctx, s.streamQuery(), s.queuePriority()); err != nil {
+		if err := s.acquireTurn(ctx); err != nil {
 			s.fail(ctx, err)
 			return false
 		}
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -153,5 +153,8 @@
 // Endpoint returns an empty string: no endpoint is preferred.
 func (untrackedAdmission) Endpoint() string { return "" }
 
+// Begun returns true: without the home of its program, a turn is not known to begin it.
+func (untrackedAdmission) Begun() bool { return true }
+
 // Wait returns nil at once, as there is nothing to record.
 func (untrackedAdmission) Wait(context.Context) error { return nil }
--- /dev/null
+++ b/overload/controller.go
@@ -0,0 +1,277 @@
+package overload
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lavendervale/lavendervale/endpoint"
+)
+
+const (
+	// DefaultLoad is the default of Config.Load. It leaves a tenth of the slots to turns that come back
+	// from programs under way.
+	DefaultLoad = 0.9
+	// shareLoad is the load up to which programs of customers below their share begin.
+	shareLoad = 1
+	// startSpan is how long after its start a front knows too little of the load of others, which they
+	// report each 100 ms.
+	startSpan = 200 * time.Millisecond
+	// waitRatio is the part of its route's latency target that a beginning may wait; the rest is for
+	// the engine.
+	waitRatio = 0.25
+	// defaultMaxWait is how long a beginning may wait on a route without a latency target.
+	defaultMaxWait = 100 * time.Millisecond
+	// defaultCost is the engine time that is expected of a turn of a kind that has not been seen yet.
+	defaultCost = 100 * time.Millisecond
+	// minRetryAfter is the shortest time to retry: load reports of other fronts arrive each 100 ms, of
+	// which half is the least that can bring news.
+	minRetryAfter = 50 * time.Millisecond
+	// retryRatio bounds the time to retry to a part of the time left to the request. Callers honour up
+	// to a third.
+	retryRatio = 0.25
+	// slackWeight is the weight of one program in the average of the time that programs have left.
+	slackWeight = 0.05
+	// maxSlackRatio bounds how much the slack of a program shifts its time to retry.
+	maxSlackRatio = 4
+	// idleSpan is how long a service without beginnings is remembered.
+	idleSpan = 10 * time.Second
+	// waitedFrom is the time from which on a beginning counts as having waited; shorter waits are those
+	// for locks and goroutines.
+	waitedFrom = 2 * time.Millisecond
+)
+
+// Directory tells the load of services. It is implemented by *endpoint.Directory.
+type Directory interface {
+	// Capacity returns what is known of the load of a service; it must not add up all endpoints for
+	// each call.
+	Capacity(service string, now time.Time) endpoint.Capacity
+	// TypicalTime returns the typical time of a kind of requests, and whether one has been seen.
+	TypicalTime(kind string) (time.Duration, bool)
+}
+
+// Shares tells which customers are over their fair share of the engines.
+type Shares interface {
+	// Ask notes that a customer asks for engine time.
+	Ask(customer string, cost time.Duration, now time.Time)
+	// Over reports whether a customer is over its fair share of a capacity in slots.
+	Over(customer string, capacity float64, now time.Time) bool
+}
+
+// Config holds the settings and dependencies of a Controller.
+type Config struct {
+	// Load is the ratio of running requests to slots from which on programs wait to begin; 0 is
+	// DefaultLoad.
+	Load float64
+	// Directory tells the load.
+	Directory Directory
+	// Shares tells the customers over their share; nil if customers have no shares.
+	Shares Shares
+}
+
+// Controller decides which programs begin. It is safe for concurrent use.
+type Controller struct {
+	config    Config
+	startedAt time.Time
+	mu        sync.Mutex
+	// services holds what is known of each service with beginnings within idleSpan.
+	services map[string]*service
+}
+
+// New returns a Controller that decides from startSpan after its creation on.
+func New(c Config) *Controller {
+	if c.Load <= 0 {
+		c.Load = DefaultLoad
+	}
+	return &Controller{config: c, startedAt: time.Now(), services: map[string]*service{}}
+}
+
+// Request describes a turn that begins its program.
+type Request struct {
+	// Service is the name of the service that is to run it.
+	Service string
+	// Kind groups requests that take about the same time, see endpoint.Query.
+	Kind string
+	// Customer is the name of the caller's customer, or empty.
+	Customer string
+	// Rank is its rank in the queue.
+	Rank int
+	// LatencyTarget is that of its route, 0 for none.
+	LatencyTarget time.Duration
+	// Deadline is when the request must have its response, ProgramDeadline when its program should be
+	// finished.
+	Deadline, ProgramDeadline time.Time
+}
+
+// Beginning is a turn that begins its program and may wait for a free slot. Exactly one of Admitted,
+// Expired and Abandoned must be called.
+type Beginning struct {
+	controller *Controller
+	request    Request
+	// askedAt is when the wait began, which ends at GiveUpAt.
+	askedAt  time.Time
+	giveUpAt time.Time
+	maxLoad  float64
+	inputs   Inputs
+}
+
+// Inputs are what a decision was made from.
+type Inputs struct {
+	// Capacity is the load of the service.
+	Capacity endpoint.Capacity
+	// Waiting is the number of beginnings at this front that wait, Admitted and Refused what came of
+	// others in the last second.
+	Waiting, Admitted, Refused int
+}
+
+// Begin decides on a turn that begins its program. An error, of type *Error, refuses it. A Beginning of
+// nil says that the turn is to be served like any other.
+func (c *Controller) Begin(r Request, now time.Time) (*Beginning, error) {
+	if c.config.Shares != nil && r.Customer != "" {
+		cost, ok := c.config.Directory.TypicalTime(r.Kind)
+		if !ok {
+			cost = defaultCost
+		}
+		c.config.Shares.Ask(r.Customer, cost, now)
+	}
+	capacity := c.config.Directory.Capacity(r.Service, now)
+	if capacity.Slots == 0 || now.Sub(c.startedAt) < startSpan {
+		return nil, nil
+	}
+	load := capacity.Load()
+	maxLoad, over := c.config.Load, false
+	if c.config.Shares != nil && r.Customer != "" && load >= maxLoad {
+		if over = c.config.Shares.Over(r.Customer, float64(capacity.Slots), now); !over {
+			maxLoad = max(maxLoad, shareLoad)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(r.Service, now)
+	s.observeSlack(max(0, r.ProgramDeadline.Sub(now)))
+	b := &Beginning{controller: c, request: r, askedAt: now, maxLoad: maxLoad, inputs: s.inputs(capacity)}
+	maxWait := b.maxWait()
+	b.giveUpAt = now.Add(maxWait)
+	switch {
+	case over:
+		return b, b.refuse(s, KindShare, now, "its customer is over its fair share")
+	case load >= maxLoad && s.total.expired > 0 && s.expectedWait(s.ahead(r.Rank)) > maxWait:
+		// While none has waited in vain, the rate of admissions is that of demand and not of capacity.
+		return b, b.refuse(s, KindFull, now, "it would wait "+s.expectedWait(s.ahead(r.Rank)).Round(time.Millisecond).String())
+	}
+	s.waiting[rankIndex(r.Rank)]++
+	return b, nil
+}
+
+// service returns what is known of a service, as of now; c.mu must be held.
+func (c *Controller) service(name string, now time.Time) *service {
+	s, ok := c.services[name]
+	if !ok {
+		for other, s := range c.services {
+			if now.Sub(s.lastAskedAt) > idleSpan && s.allWaiting() == 0 {
+				delete(c.services, other)
+			}
+		}
+		s = &service{}
+		c.services[name] = s
+	}
+	s.lastAskedAt = now
+	s.advance(int64(now.Sub(c.startedAt) / bucketSpan))
+	return s
+}
+
+// LoadRatio returns the greatest ratio of running requests to slots among the services with recent
+// beginnings, 0 without any.
+func (c *Controller) LoadRatio(now time.Time) float64 {
+	c.mu.Lock()
+	names := make([]string, 0, len(c.services))
+	for name := range c.services {
+		names = append(names, name)
+	}
+	c.mu.Unlock()
+	greatest := 0.0
+	for _, name := range names {
+		greatest = max(greatest, c.config.Directory.Capacity(name, now).Load())
+	}
+	return greatest
+}
+
+func (s *service) inputs(capacity endpoint.Capacity) Inputs {
+	return Inputs{Capacity: capacity, Waiting: s.allWaiting(), Admitted: s.total.admitted, Refused: s.total.refused}
+}
+
+// maxWait returns how long the turn may wait.
+func (b *Beginning) maxWait() time.Duration {
+	wait := defaultMaxWait
+	if b.request.LatencyTarget > 0 {
+		wait = time.Duration(waitRatio * float64(b.request.LatencyTarget))
+	}
+	return max(0, min(wait, time.Duration(retryRatio*float64(b.request.Deadline.Sub(b.askedAt)))))
+}
+
+// GiveUpAt returns until when the turn may wait for a free slot.
+func (b *Beginning) GiveUpAt() time.Time { return b.giveUpAt }
+
+// Restrict returns a query that finds only free slots, and only while the load leaves room.
+func (b *Beginning) Restrict(q endpoint.Query) endpoint.Query {
+	q.MaxQueued, q.MaxLoad = 0, b.maxLoad
+	return q
+}
+
+// Inputs returns what the latest decision on the turn was made from.
+func (b *Beginning) Inputs() Inputs { return b.inputs }
+
+// Admitted notes that the turn got a slot, and reports whether it had to wait for it.
+func (b *Beginning) Admitted(now time.Time) (waited bool) {
+	b.leave(now, counts{admitted: 1})
+	return now.Sub(b.askedAt) >= waitedFrom
+}
+
+// Expired notes that the turn got no slot until GiveUpAt, and returns the error that refuses it.
+func (b *Beginning) Expired(now time.Time) error {
+	capacity := b.controller.config.Directory.Capacity(b.request.Service, now)
+	b.controller.mu.Lock()
+	defer b.controller.mu.Unlock()
+	s := b.controller.service(b.request.Service, now)
+	s.waiting[rankIndex(b.request.Rank)]--
+	s.add(counts{expired: 1})
+	b.inputs = s.inputs(capacity)
+	return b.refuse(s, KindFull, now, "it waited "+now.Sub(b.askedAt).Round(time.Millisecond).String())
+}
+
+// Abandoned notes that the turn stopped waiting for another reason: its caller left, or no endpoint is
+// usable.
+func (b *Beginning) Abandoned(now time.Time) { b.leave(now, counts{}) }
+
+// leave ends the wait of the turn.
+func (b *Beginning) leave(now time.Time, result counts) {
+	b.controller.mu.Lock()
+	defer b.controller.mu.Unlock()
+	s := b.controller.service(b.request.Service, now)
+	s.waiting[rankIndex(b.request.Rank)]--
+	s.add(result)
+}
+
+// refuse counts the turn as refused and returns the error; the controller's mutex must be held.
+func (b *Beginning) refuse(s *service, kind Kind, now time.Time, reason string) error {
+	s.add(counts{refused: 1})
+	in := b.inputs
+	err := Errorf("engines are full", kind, "%s; load %.2f of %d slots, %d wait to begin, %d began and %d were refused in the last second", reason, in.Capacity.Load(), in.Capacity.Slots, in.Waiting, in.Admitted, in.Refused)
+	expected := s.expectedWait(s.allWaiting() + s.total.refused)
+	err.retryAfter = retryAfter(expected, b.request.Deadline.Sub(now), b.request.ProgramDeadline.Sub(now), s.slack, rand.Float64())
+	return err
+}
+
+// retryAfter returns when a refused caller should retry: at a draw, uniform in [0,1), spread over the
+// expected wait, but at most retryRatio of the time left to the request. The time is shorter for programs
+// with less slack than the mean, and longer for those with more and those that are late already.
+func retryAfter(expected, left, slack, meanSlack time.Duration, draw float64) time.Duration {
+	limit := time.Duration(retryRatio * float64(max(0, left)))
+	ratio := 1.0 / maxSlackRatio
+	if slack > 0 {
+		ratio = min(maxSlackRatio, max(1.0/maxSlackRatio, float64(meanSlack)/float64(slack)))
+	}
+	wait := time.Duration(float64(min(expected, limit)) * math.Pow(draw, ratio))
+	return min(max(wait, minRetryAfter), limit)
+}
--- a/turn/begin.go
+++ b/turn/begin.go
@@ -13,6 +13,7 @@
 type localAdmission struct {
 	conversation []byte
 	endpoint     string
+	begun        bool
 	// op writes the begin record, nil when the program has no budget.
 	op *writeOp
 }
@@ -24,6 +25,10 @@
 // cache, empty when none is known.
 func (a *localAdmission) Endpoint() string { return a.endpoint }
 
+// Begun reports whether an attempt of the program has delivered tokens or been completed, or the turn
+// continues another one.
+func (a *localAdmission) Begun() bool { return a.begun }
+
 // Wait blocks until the begin record is in the log, replicated or covered by a lease. It returns an
 // error of KindBudget when the attempt no longer fits the budget, and of
 // KindUnavailable when ctx ends first.
@@ -71,6 +76,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	admitted.endpoint = s.sessionEndpoint(r)
+	admitted.begun = r.Previous != "" || s.hasBegun(r.Program)
 	if r.BudgetTokens <= 0 {
 		return nil
 	}
@@ -97,6 +103,20 @@
 	return nil
 }
 
+// hasBegun reports whether an attempt of a program has delivered tokens or been completed, according to
+// the records so far, pending ones included. s.mu must be held.
+func (s *shard) hasBegun(program string) bool {
+	if p, ok := s.state.programs[program]; ok && p.begun() {
+		return true
+	}
+	for _, op := range s.pending {
+		if e := op.record.GetEnd(); e.GetProgram() == program && (e.GetTokens() > 0 || e.GetTurn() != nil) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkBudget returns an error of KindBudget if a program that has used so many tokens, with those
 // of pending records, has too few left for an attempt, or one of checkLeases. s.mu must be held.
 func (s *shard) checkBudget(r BeginRequest, used int64) error {
--- a/turn/interfaces.go
+++ b/turn/interfaces.go
@@ -98,6 +98,9 @@
 	// Endpoint returns the endpoint likely to have the conversation in its prompt
 	// cache, empty when none is known.
 	Endpoint() string
+	// Begun reports whether the home knew of an earlier turn or token of the program when it
+	// admitted the attempt.
+	Begun() bool
 	// Wait blocks until the begin record is safe from the loss of the process that
 	// admitted the attempt. If it returns an error, the attempt must not continue.
 	Wait(ctx context.Context) error
--- a/turn/state.go
+++ b/turn/state.go
@@ -38,6 +38,8 @@
 	// endedAttempts holds all ended attempts, so that a record applied twice or a begin
 	// record that comes after its end record has no effect.
 	endedAttempts map[string]struct{}
+	// completed is set once a turn of the program has been completed.
+	completed bool
 	// lastRecordAt is the latest time of writing among the program's records.
 	lastRecordAt time.Time
 }
@@ -60,6 +62,9 @@
 	return &state{programs: map[string]*programBudget{}, turns: map[string]*turnNode{}}
 }
 
+// begun reports whether an attempt of the program has delivered tokens or been completed.
+func (p *programBudget) begun() bool { return p.completed || p.spentTokens > 0 }
+
 // getOrCreateProgram returns the budget of a program, and notes that one of the
 // program's records was written at recordedAt.
 func (s *state) getOrCreateProgram(id string, recordedAt time.Time) *programBudget {
@@ -175,6 +180,7 @@
 		p.spentTokens += end.GetTokens()
 	}
 	if t := end.GetTurn(); t != nil {
+		p.completed = true
 		s.addTurn(end.GetAttempt(), t, writtenAt)
 	}
 }
