Add max-min fair shares of engine time among customers

Package share records, as sums that decay within seconds, what each customer asks for and uses, adds up the reports of other fronts, and fills the capacity up to a common level. CustomerUse gets demand_ms: from use alone, the shortage that other fronts refuse can't be seen, and the level would be infinite while admission holds the load at 0.9. The gateway records the engine time of each stream.

Nothing asks for shares yet: admission control does, in package overload.

--- a/adapter/mesh/fuzz_test.go
+++ b/adapter/mesh/fuzz_test.go
@@ -19,6 +19,7 @@
 	"github.com/lavendervale/lavendervale/origin"
 	"github.com/lavendervale/lavendervale/permit"
 	"github.com/lavendervale/lavendervale/quarantine"
+	"github.com/lavendervale/lavendervale/share"
 	"github.com/lavendervale/lavendervale/turn"
 	"github.com/lavendervale/lavendervale/turn/turntest"
 )
@@ -51,7 +52,7 @@
 // newFuzzMesh returns a mesh without sockets that serves shards of an empty log.
 func newFuzzMesh() *Mesh {
 	m := &Mesh{
-		config: Config{Name: "self", Weight: 0.8, Shards: fuzzShards, Directory: endpoint.NewDirectory(), Logger: zap.NewNop()},
+		config: Config{Name: "self", Weight: 0.8, Shards: fuzzShards, Directory: endpoint.NewDirectory(), Shares: share.New(share.Config{Self: "self"}), Logger: zap.NewNop()},
 		peers:  newPeerTable("self", 0.8), suspects: quarantine.NewSuspects(), replicas: newReplicaStore(), store: echoStore{},
 		permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), relayed: newRelayTable(), origins: origin.NewStore(),
 	}
@@ -75,6 +76,8 @@
 		{Name: "front-1", Sequence: math.MaxUint64, Incarnation: math.MaxUint64, Weight: -1, Crashes: []*meshpb.Crash{{Request: 1, Incarnation: 2, BeganAgoUs: math.MaxUint64}}, ClearedRequests: []uint64{1, 2}},
 		{Name: "self", Sequence: 1},
 		{Name: "front-1", Sequence: 1, Weight: 1, Limits: []*meshpb.EndpointLimit{{Endpoint: 7, Named: true, PerSecond: math.Inf(1), AgeMs: math.MaxUint32}}, MixedServices: []uint64{1, 1}},
+		{Name: "front-1", Sequence: 1, Weight: 1, Shares: []*meshpb.CustomerUse{{Customer: math.MaxUint64, UseMs: math.MaxUint32, DemandMs: 7}, {}, {}}},
+		{Name: "front-1", Sequence: 1, Weight: 1, Shares: []*meshpb.CustomerUse{{Customer: 1, UseMs: maxReportedMS, DemandMs: maxReportedMS}}},
 	}
 	for _, g := range gossips {
 		data, err := proto.Marshal(g)
@@ -102,6 +105,8 @@
 		require.LessOrEqual(t, len(crashes), 256)
 		require.LessOrEqual(t, len(cleared), 256)
 		m.config.Directory.Loads()
+		use, fairShare := m.config.Shares.(*share.Ledger).Level("c", 1, now)
+		require.False(t, math.IsNaN(use) || math.IsNaN(fairShare))
 	})
 }
 
--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -117,6 +117,7 @@
 	g.MixedServices = g.MixedServices[:min(len(g.MixedServices), maxGossipServices)]
 	g.Limits = limitsToGossip(m.config.Directory.Limits(now), g.GetSequence())
 	g.Departures = departuresToGossip(m.config.Directory.Departures(now), g.GetSequence())
+	g.Shares = m.sharesToGossip(g.GetSequence(), now)
 	return g
 }
 
@@ -212,6 +213,7 @@
 	m.config.Directory.UpdatePeerLoads(g.GetName(), loads, now)
 	m.applyLimits(g, now)
 	m.applyDepartures(g, now)
+	m.applyShares(g, heardAt)
 	m.config.Directory.ApplyMixedServices(g.GetMixedServices()[:min(len(g.GetMixedServices()), maxGossipServices)], now)
 	m.suspects.Apply(crashesFromGossip(g.GetCrashes(), heardAt), g.GetClearedRequests(), now)
 }
--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -28,8 +28,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			m := newTestMesh(t, "m")
+			m, ledger := newShareMesh(t, "m")
 			for i := range test.endpoints {
+				ledger.Run(fmt.Sprint("customer-", i), 10*time.Hour, time.Now())
 				service := fmt.Sprint("s-", i)
 				m.config.Directory.Put(endpoint.Registration{ID: fmt.Sprint("old-", i), Service: service, Version: "v0", State: endpoint.Draining}, time.Now())
 				m.config.Directory.Put(endpoint.Registration{ID: fmt.Sprint("i-", i), Service: service, Address: "127.0.0.1:1", State: endpoint.Ready, Slots: 8}, time.Now())
@@ -43,6 +44,7 @@
 					m.RecordCompletion(request)
 				}
 			}
+			m.gossipSequence.Store(sharesEvery - 1)
 			g := m.newGossip(time.Now())
 			data, err := proto.Marshal(g)
 			require.NoError(t, err)
@@ -51,6 +53,7 @@
 			require.NotEmpty(t, g.GetLimits())
 			require.NotEmpty(t, g.GetMixedServices())
 			require.NotEmpty(t, g.GetDepartures())
+			require.Len(t, g.GetShares(), maxShares)
 		})
 	}
 }
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -67,6 +67,9 @@
 	// StoreUnreachableFor returns for how long this front has not reached the platform's
 	// store, 0 when it does.
 	StoreUnreachableFor func() time.Duration
+	// Shares provides the use of customers at this front and receives that of other fronts; nil if
+	// it is not shared.
+	Shares ShareLedger
 	// Logger receives the log lines of the mesh; required.
 	Logger *zap.Logger
 }
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -22,6 +22,7 @@
 	"github.com/lavendervale/lavendervale/memory"
 	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/route"
+	"github.com/lavendervale/lavendervale/share"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -83,6 +84,7 @@
 	config         FrontConfig
 	routes         *route.Store
 	directory      *endpoint.Directory
+	shares         *share.Ledger
 	store          *platform.Store
 	mesh           *mesh.Mesh
 	shardSet       *turn.ShardSet
@@ -116,7 +118,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(c.MemoryMB) * (1 << 20)))
 	}
 	f := &Front{
-		config: c, routes: &route.Store{}, directory: endpoint.NewDirectory(), registry: prometheus.NewRegistry(), incarnation: newIncarnation(),
+		config: c, routes: &route.Store{}, directory: endpoint.NewDirectory(), shares: share.New(share.Config{Self: c.Name}), registry: prometheus.NewRegistry(), incarnation: newIncarnation(),
 	}
 	opened, err := openListeners(c)
 	if err != nil {
@@ -125,7 +127,7 @@
 	f.listeners = opened
 	f.mesh, err = mesh.New(mesh.Config{
 		Name: c.Name, Domain: c.Domain, Incarnation: f.incarnation, Weight: max(0.01, c.Processors), Address: c.PeerAddress, Shards: c.Shards,
-		Directory: f.directory, Logger: c.Logger, StoreUnreachableFor: func() time.Duration { return f.store.UnavailableFor() },
+		Directory: f.directory, Shares: f.shares, Logger: c.Logger, StoreUnreachableFor: func() time.Duration { return f.store.UnavailableFor() },
 	})
 	if err != nil {
 		opened.close()
@@ -161,7 +163,7 @@
 	f.versionHistory = platform.NewVersionHistory(platform.VersionHistoryConfig{Store: f.store, Directory: f.directory, IsRecorder: f.mesh.IsRecorder, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
-		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
+		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Shares: f.shares, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,8 @@
 	// QuotaSpan.
 	Quotas    QuotaTracker
 	QuotaSpan time.Duration
+	// Shares records the engine time of streams by customer; nil for no record.
+	Shares UseRecorder
 	// Metrics counts and times requests.
 	Metrics *Metrics
 	// Logger receives one line per request, and one per failure of an endpoint.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,8 @@
 	// unconfirmed counts streams at endpoints whose version was not confirmed: begun there, or not
 	// resumed there.
 	unconfirmed *prometheus.CounterVec
+	// shareRefusals counts requests refused because their customer was above its fair share.
+	shareRefusals prometheus.Counter
 }
 
 // latencyBuckets are the histogram bounds in seconds, from 2 ms to about 4 s.
@@ -58,7 +60,10 @@
 	m.unconfirmed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lavendervale_unconfirmed_versions_total", Help: "Streams begun, or not resumed, at an endpoint of which it was not confirmed that it still has the version of its entry.",
 	}, []string{"stream"})
-	r.MustRegister(m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
+	m.shareRefusals = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "lavendervale_share_refusals_total", Help: "Requests refused because their customer was above its fair share while the engines were full.",
+	})
+	r.MustRegister(m.shareRefusals, m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
 	return m
 }
 
@@ -82,6 +87,9 @@
 func (m *Metrics) observeCallerLeft(c *call)           { m.observe(c, "left", 0) }
 func (m *Metrics) observeBroken(c *call)               { m.observe(c, "broken", 0) }
 
+// CountShareRefusal counts a request refused because its customer was above its fair share.
+func (m *Metrics) CountShareRefusal() { m.shareRefusals.Inc() }
+
 // kindNames are the values of the kind label, by Kind.
 var kindNames = [...]string{"unknown", "not-sent", "unreachable", "broken", "reset"}
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -81,7 +81,9 @@
 			s.fail(ctx, err)
 			return false
 		}
+		sentAt := time.Now()
 		err := s.attempt(ctx)
+		s.recordUse(sentAt, err)
 		s.Directory.Release(s.target)
 		switch {
 		case err == nil:
