--- a/adapter/mesh/shares.go
+++ b/adapter/mesh/shares.go
@@ -13,7 +13,7 @@
 	// sharesEvery is the interval, in datagrams, at which they carry the use of customers: the sums
 	// decay over seconds, so that twice a second is often enough.
 	sharesEvery = 5
-	// maxShares bounds the entries in a datagram, each of which takes up to 21 bytes.
+	// maxShares bounds the entries in a datagram, each of which takes up to 22 bytes.
 	maxShares = share.MaxReported + 1
 	// maxReportedMS bounds the sums that another front may report for a customer: a steady use of
 	// 12,000 slots, those of 1,000 endpoints with the requests that wait inside, adds up to 35,000 s.
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -58,6 +58,8 @@
 	// refreshedAt is when levels and dilation were computed; zero before the first time.
 	refreshedAt time.Time
 	levels      levels
+	// unlisted is the part of customers that reports do not list, at refreshedAt.
+	unlisted unlisted
 	// totalUse is the use of all customers together at refreshedAt, in seconds a second.
 	totalUse float64
 }
@@ -73,6 +75,8 @@
 	// reports which have expired.
 	reported reportedSums
 	faded    sums
+	// listed is the number of reports in reported.
+	listed int
 }
 
 // sums holds decayed sums of the engine time that was asked for and used.
@@ -146,7 +150,7 @@
 		fairShare = math.Inf(1)
 	}
 	if i, ok := l.index[hash(customer)]; ok {
-		use = l.customers[i].use(l.growth(now))
+		use = l.rates(&l.customers[i], l.growth(now)).used
 	}
 	if l.totalUse > capacity {
 		use *= max(0, capacity) / l.totalUse
@@ -158,35 +162,35 @@
 func (l *Ledger) refresh(now time.Time) {
 	l.refreshedAt = now
 	l.expireReports(now)
-	growth, activeFrom := l.growth(now), now.Add(-activeDuration).UnixNano()
+	growth, activeFrom, active := l.growth(now), now.Add(-activeDuration).UnixNano(), 0
+	for i := range l.customers {
+		if l.customers[i].activeAt >= activeFrom {
+			active++
+		}
+	}
+	l.unlisted = l.divideOthers(active)
 	demands := l.levels.demands[:0]
 	l.totalUse = 0
-	others := 0.0
 	for i := range l.customers {
 		c := &l.customers[i]
 		if c.activeAt < activeFrom {
 			continue
 		}
-		use := c.use(growth)
-		l.totalUse += use
-		if c.id == Others {
-			others = max(use, c.demand(growth))
-			continue
-		}
-		demands = append(demands, max(use, c.demand(growth)))
+		r := l.rates(c, growth)
+		l.totalUse += r.used
+		demands = append(demands, max(r.asked, r.used))
 	}
-	demands = l.appendOthers(demands, others)
 	l.levels.set(demands)
 }
 
-// use returns the engine time that a customer uses, in seconds a second.
-func (c *customer) use(growth float64) float64 {
-	return perSecond((c.own.used+c.faded.used)/growth + float64(c.reported.used))
-}
-
-// demand returns the engine time that a customer asks for, in seconds a second.
-func (c *customer) demand(growth float64) float64 {
-	return perSecond((c.own.asked+c.faded.asked)/growth + float64(c.reported.asked))
+// rates returns the engine time that a customer asks for and uses, in seconds a second; l.mu must be
+// held.
+func (l *Ledger) rates(c *customer, growth float64) sums {
+	hidden := l.unlisted.part(c.listed)
+	return sums{
+		asked: perSecond((c.own.asked+c.faded.asked)/growth + float64(c.reported.asked) + hidden.asked),
+		used:  perSecond((c.own.used+c.faded.used)/growth + float64(c.reported.used) + hidden.used),
+	}
 }
 
 // customer returns the state of a customer, which is valid until the next call; l.mu must be held.
--- a/share/report.go
+++ b/share/report.go
@@ -36,7 +36,9 @@
 type report struct {
 	at   time.Time
 	uses []Use
-	// leastMS is the weight of the least entry, which no customer among Others exceeds; 0 without Others.
+	// others is the entry of Others, and leastMS the weight of the least listed customer, which none
+	// of the others exceeds.
+	others  Use
 	leastMS uint32
 	// faded is set once the report has expired, so that its sums decay.
 	faded bool
@@ -96,51 +98,64 @@
 			return
 		}
 	}
-	uses = slices.Clone(uses[:min(len(uses), MaxReported+1)])
-	l.makeRoom(len(uses))
+	r := newReport(uses[:min(len(uses), MaxReported+1)], at)
+	l.makeRoom(len(r.uses))
 	if ok {
 		l.count(last, -1)
 	}
-	r := &report{at: at, uses: uses, leastMS: leastWeight(uses)}
 	l.reports[front] = r
 	l.count(r, 1)
-	for _, u := range uses {
+	for _, u := range r.uses {
 		c := l.customer(u.Customer)
 		c.activeAt = max(c.activeAt, at.UnixNano())
 	}
 }
 
-// leastWeight returns the least weight of the listed customers, or 0 if the report has no others.
-func leastWeight(uses []Use) uint32 {
-	least, others := uint32(math.MaxUint32), false
-	for _, u := range uses {
+// newReport returns a report of some entries.
+func newReport(entries []Use, at time.Time) *report {
+	r := &report{at: at, leastMS: math.MaxUint32, uses: make([]Use, 0, len(entries))}
+	for _, u := range entries {
 		if u.Customer == Others {
-			others = true
+			r.others = u
 			continue
 		}
-		least = min(least, u.weight())
-	}
-	if !others {
-		return 0
+		r.uses = append(r.uses, u)
+		r.leastMS = min(r.leastMS, u.weight())
 	}
-	return least
+	return r
+}
+
+// unlisted is the part of a customer in the sums of Others, if no report lists it.
+type unlisted struct {
+	// reports is the number of reports that count whole.
+	reports int
+	// sums is in microseconds, whole ones so that the order of addition does not matter.
+	sums reportedSums
 }
 
-// appendOthers appends the demand of the customers that reports sum up as Others, as that of as few
-// equal customers as they can be: each front has listed those above its leastMS. l.mu must be held.
-func (l *Ledger) appendOthers(demands []float64, demand float64) []float64 {
-	greatestMS := uint64(0)
+// divideOthers returns the part of each customer in the sums of Others, which are divided evenly among
+// the active customers that a report does not list; l.mu must be held.
+func (l *Ledger) divideOthers(active int) unlisted {
+	var out unlisted
 	for _, r := range l.reports {
-		greatestMS += uint64(r.leastMS)
-	}
-	if demand <= 0 || greatestMS == 0 {
-		return demands
+		if r.faded {
+			continue
+		}
+		out.reports++
+		n, most := int64(max(1, active-len(r.uses))), int64(r.leastMS)*1000
+		out.sums.asked += min(most, int64(r.others.AskedMS)*1000/n)
+		out.sums.used += min(most, int64(r.others.UsedMS)*1000/n)
 	}
-	n := int(min(maxCustomers, math.Ceil(demand/perSecond(float64(greatestMS)))))
-	for range n {
-		demands = append(demands, demand/float64(n))
+	return out
+}
+
+// part returns the part of a customer that some of the reports list, in milliseconds.
+func (u unlisted) part(listed int) sums {
+	if u.reports == 0 {
+		return sums{}
 	}
-	return demands
+	f := float64(u.reports-listed) / float64(u.reports) / 1000
+	return sums{asked: f * float64(u.sums.asked), used: f * float64(u.sums.used)}
 }
 
 // expireReports lets the sums of expired reports decay, and deletes those that have faded; l.mu must
@@ -171,6 +186,7 @@
 			c.faded.used = max(0, c.faded.used+float64(u.UsedMS)*growth)
 			continue
 		}
+		c.listed += int(sign)
 		c.reported.asked += sign * int64(u.AskedMS)
 		c.reported.used += sign * int64(u.UsedMS)
 	}
@@ -184,7 +200,8 @@
 	}
 	growth := l.growth(l.now)
 	slices.SortFunc(l.customers, func(a, b customer) int {
-		return cmp.Compare(b.use(growth)+b.demand(growth), a.use(growth)+a.demand(growth))
+		ofA, ofB := l.rates(&a, growth), l.rates(&b, growth)
+		return cmp.Compare(ofB.asked+ofB.used, ofA.asked+ofA.used)
 	})
 	l.customers = l.customers[:maxCustomers-evictedCustomers]
 	clear(l.index)
