Merge fair shares of customers, and refuse programs that have waited while engines are full

Cause of the second part: programs that were refused come back for up to three seconds.

Change: the home tells for how long it has been asked to begin the program; while engines are full, a program that has waited a twentieth of its deadline is refused. The ledger of shares is created only where the settings call for it, and refusals for a share are logged and counted.

--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -163,7 +164,7 @@
 	if err != nil {
 		return h.replyFault(err)
 	}
-	opened := &meshpb.Opened{Text: t.Text(), Endpoint: t.Endpoint(), Begun: t.Begun()}
+	opened := &meshpb.Opened{Text: t.Text(), Endpoint: t.Endpoint(), Begun: t.Begun(), WaitedMs: uint32(min(math.MaxUint32, t.Waited().Milliseconds()))}
 	if err := h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Opened{Opened: opened}}); err != nil {
 		return err
 	}
--- a/adapter/mesh/turns.go
+++ b/adapter/mesh/turns.go
@@ -170,6 +170,11 @@
 // another one belongs to a begun program also if the home is of an older version and does not tell.
 func (r *remoteAdmission) Begun() bool { return r.continues || r.opened.GetBegun() }
 
+// Waited returns the time since the home was first asked to begin the program, 0 if it has begun.
+func (r *remoteAdmission) Waited() time.Duration {
+	return time.Duration(r.opened.GetWaitedMs()) * time.Millisecond
+}
+
 // Wait returns when the record of the attempt is durable. Its error is why the record
 // failed, or of turn.KindUnavailable when ctx ends first.
 func (r *remoteAdmission) Wait(ctx context.Context) error {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -23,6 +23,7 @@
 	"github.com/lavendervale/lavendervale/overload"
 	"github.com/lavendervale/lavendervale/platform"
 	"github.com/lavendervale/lavendervale/route"
+	"github.com/lavendervale/lavendervale/share"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -88,9 +89,11 @@
 
 // Front is a process that serves the callers of a platform.
 type Front struct {
-	config         FrontConfig
-	routes         *route.Store
-	directory      *endpoint.Directory
+	config    FrontConfig
+	routes    *route.Store
+	directory *endpoint.Directory
+	// shares is nil if customers have no shares.
+	shares         *share.Ledger
 	store          *platform.Store
 	mesh           *mesh.Mesh
 	shardSet       *turn.ShardSet
@@ -128,6 +131,11 @@
 	f := &Front{
 		config: c, routes: &route.Store{}, directory: endpoint.NewDirectory(), registry: prometheus.NewRegistry(), incarnation: newIncarnation(),
 	}
+	var shares mesh.ShareLedger
+	if c.RefuseWhenFull && c.FairShares {
+		f.shares = share.New(share.Config{Self: c.Name})
+		shares = f.shares
+	}
 	opened, err := openListeners(c)
 	if err != nil {
 		return nil, err
@@ -135,7 +143,7 @@
 	f.listeners = opened
 	f.mesh, err = mesh.New(mesh.Config{
 		Name: c.Name, Domain: c.Domain, Incarnation: f.incarnation, Weight: max(0.01, c.Processors), Address: c.PeerAddress, Shards: c.Shards,
-		Directory: f.directory, Logger: c.Logger, StoreUnreachableFor: func() time.Duration { return f.store.UnavailableFor() },
+		Directory: f.directory, Shares: shares, Logger: c.Logger, StoreUnreachableFor: func() time.Duration { return f.store.UnavailableFor() },
 	})
 	if err != nil {
 		opened.close()
@@ -171,7 +179,7 @@
 	f.versionHistory = platform.NewVersionHistory(platform.VersionHistoryConfig{Store: f.store, Directory: f.directory, IsRecorder: f.mesh.IsRecorder, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
-		TurnTracker: f.mesh, Overload: f.newOverload(), CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
+		TurnTracker: f.mesh, Overload: f.newOverload(), CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Shares: f.useRecorder(), Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
 	f.parts = []func(context.Context){f.mesh.Run, f.storeWatch.Run, f.versionHistory.Run, f.endpointClient.Run, f.shardSet.Run, f.register, f.start}
@@ -182,13 +190,25 @@
 	if !f.config.RefuseWhenFull {
 		return nil
 	}
-	controller := overload.New(overload.Config{Load: f.config.AdmissionLoad, Directory: f.directory})
+	config := overload.Config{Load: f.config.AdmissionLoad, Directory: f.directory}
+	if f.shares != nil {
+		config.Shares = f.shares
+	}
+	controller := overload.New(config)
 	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lavendervale_engine_load_ratio", Help: "Greatest ratio of running requests to slots among the services where programs began lately.",
 	}, func() float64 { return controller.LoadRatio(time.Now()) }))
 	return controller
 }
 
+// useRecorder returns the record of what customers use, or nil if they have no shares.
+func (f *Front) useRecorder() gateway.UseRecorder {
+	if f.shares == nil {
+		return nil
+	}
+	return f.shares
+}
+
 // newLimiter returns the limiter of the buffers of requests in progress, with its metrics.
 func (f *Front) newLimiter() *memory.Limiter {
 	limiter := memory.New(memory.Config{CapacityBytes: int64(bufferRatio * float64(f.config.MemoryMB) * (1 << 20))})
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -39,10 +39,14 @@
 	s.admissionDecided = true
 	beginning, err := s.Overload.Begin(overload.Request{
 		Service: s.service, Kind: s.route.Name(), Customer: s.customer.Name, Rank: s.rank(), LatencyTarget: s.route.LatencyTarget(),
-		Deadline: s.deadline, ProgramDeadline: s.request.ProgramDeadline,
+		Deadline: s.deadline, ProgramDeadline: s.request.ProgramDeadline, Waited: s.admission.Waited(),
 	}, time.Now())
 	if err != nil {
 		s.noteAdmission(beginning, admissionRefused)
+		if overload.KindOf(err) == overload.KindShare {
+			s.Metrics.shareRefusals.Inc()
+			s.overShare = true
+		}
 		return err
 	}
 	if beginning == nil {
@@ -80,8 +84,13 @@
 		return nil
 	}
 	in := c.beginning.Inputs()
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.Bool("begins", true), zap.Float64("load", in.Capacity.Load()), zap.Float64("load_mean", in.MeanLoad), zap.Int("slots", in.Capacity.Slots), zap.Int("load_reports", in.Capacity.Reports),
-		zap.Duration("load_age", in.Capacity.ReportAge),
+		zap.Duration("load_age", in.Capacity.ReportAge), zap.Duration("waited", c.beginning.Waited()),
+	}
+	if c.overShare && c.Shares != nil {
+		use, fairShare := c.Shares.Level(c.customer.Name, float64(in.Capacity.Slots), time.Now())
+		fields = append(fields, zap.Float64("use", use), zap.Float64("fair_share", fairShare))
 	}
+	return fields
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	// QuotaSpan.
 	Quotas    QuotaTracker
 	QuotaSpan time.Duration
+	// Shares records the engine time of streams by customer; nil for no record.
+	Shares UseRecorder
 	// Metrics counts and times requests.
 	Metrics *Metrics
 	// Logger receives one line per request, and one per failure of an endpoint.
@@ -142,6 +144,8 @@
 	// set if it is not subject to admission control.
 	beginning       *overload.Beginning
 	admissionResult admissionResult
+	// overShare is set if the turn was refused because its customer is over its fair share.
+	overShare bool
 	// eventCount is the number of events passed to the caller, without empty ones.
 	eventCount int
 }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -108,6 +108,7 @@
 type freeAdmission struct{}
 
 func (freeAdmission) Text() []byte               { return nil }
+func (freeAdmission) Waited() time.Duration      { return 0 }
 func (freeAdmission) Endpoint() string           { return "" }
 func (freeAdmission) Begun() bool                { return true }
 func (freeAdmission) Wait(context.Context) error { return nil }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,8 @@
 	// unconfirmed counts streams at endpoints whose version was not confirmed: begun there, or not
 	// resumed there.
 	unconfirmed *prometheus.CounterVec
+	// shareRefusals counts requests refused because their customer was above its fair share.
+	shareRefusals prometheus.Counter
 }
 
 // latencyBuckets are the histogram bounds in seconds, from 2 ms to about 4 s.
@@ -63,7 +65,10 @@
 	m.unconfirmed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lavendervale_unconfirmed_versions_total", Help: "Streams begun, or not resumed, at an endpoint of which it was not confirmed that it still has the version of its entry.",
 	}, []string{"stream"})
-	r.MustRegister(m.admissions, m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
+	m.shareRefusals = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "lavendervale_share_refusals_total", Help: "Requests refused because their customer was above its fair share while the engines were full.",
+	})
+	r.MustRegister(m.admissions, m.shareRefusals, m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
 	return m
 }
 
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -156,5 +156,8 @@
 // Begun returns true: without the home of its program, a turn is not known to begin it.
 func (untrackedAdmission) Begun() bool { return true }
 
+// Waited returns 0.
+func (untrackedAdmission) Waited() time.Duration { return 0 }
+
 // Wait returns nil at once, as there is nothing to record.
 func (untrackedAdmission) Wait(context.Context) error { return nil }
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -34,6 +34,10 @@
 	// spent on: in TestControlKeepsProgramsInTimeUnderOverload, a fixed time to retry of 500 ms left
 	// 1,686 programs in time at 1.3 times the capacity, 50 ms left 2,041.
 	slackRatio = 1.0 / 16
+	// staleRatio is the part of its deadline that a program may have waited to begin while engines are
+	// full. Deadlines are 1.2 to 1.5 times the time of a program that never waits; what it waits before
+	// its first turn is missing for the waits before the later ones.
+	staleRatio = 0.05
 	// idleSpan is how long a service without turns is remembered at least.
 	idleSpan = 10 * time.Second
 	// waitedFrom is the time from which on a beginning counts as having waited; shorter waits are those
@@ -101,6 +105,14 @@
 	// Deadline is when the request must have its response, ProgramDeadline when its program should be
 	// finished.
 	Deadline, ProgramDeadline time.Time
+	// Waited is the time since the program was first to begin.
+	Waited time.Duration
+}
+
+// stale reports whether the program has waited for so long that those that come now are more likely to
+// be in time.
+func (r Request) stale(now time.Time) bool {
+	return r.Waited > time.Duration(staleRatio*float64(r.Waited+r.ProgramDeadline.Sub(now)))
 }
 
 // Beginning is a turn that begins its program and may wait for a free slot. Exactly one of Admitted,
@@ -160,6 +172,8 @@
 	maxWait := b.maxWait()
 	b.giveUpAt = now.Add(maxWait)
 	switch {
+	case r.stale(now):
+		return b, b.refuse(s, KindFull, now, "its program has waited "+r.Waited.Round(time.Millisecond).String())
 	case over:
 		return b, b.refuse(s, KindShare, now, "its customer is over its fair share")
 	case load >= maxLoad && s.total.expired > 0 && s.expectedWait(s.ahead(r.Rank)+1) > maxWait:
@@ -240,6 +254,9 @@
 	return q
 }
 
+// Waited returns the time since the program was first to begin.
+func (b *Beginning) Waited() time.Duration { return b.request.Waited }
+
 // Inputs returns what the latest decision on the turn was made from.
 func (b *Beginning) Inputs() Inputs { return b.inputs }
 
--- a/turn/begin.go
+++ b/turn/begin.go
@@ -14,6 +14,7 @@
 	conversation []byte
 	endpoint     string
 	begun        bool
+	waited       time.Duration
 	// op writes the begin record, nil when the program has no budget.
 	op *writeOp
 }
@@ -29,6 +30,9 @@
 // continues another one.
 func (a *localAdmission) Begun() bool { return a.begun }
 
+// Waited returns the time since this process was first asked to begin the program, 0 if it has begun.
+func (a *localAdmission) Waited() time.Duration { return a.waited }
+
 // Wait blocks until the begin record is in the log, replicated or covered by a lease. It returns an
 // error of KindBudget when the attempt no longer fits the budget, and of
 // KindUnavailable when ctx ends first.
@@ -77,6 +81,7 @@
 	defer s.mu.Unlock()
 	admitted.endpoint = s.sessionEndpoint(r)
 	admitted.begun = r.Previous != "" || s.hasBegun(r.Program)
+	admitted.waited = s.waitedToBegin(r.Program, admitted.begun, time.Now())
 	if r.BudgetTokens <= 0 {
 		return nil
 	}
@@ -103,6 +108,21 @@
 	return nil
 }
 
+// waitedToBegin returns the time since an attempt of a program first asked to begin it, and remembers
+// the first one. s.mu must be held.
+func (s *shard) waitedToBegin(program string, begun bool, now time.Time) time.Duration {
+	askedAt, ok := s.firstAskedAt[program]
+	switch {
+	case begun:
+		delete(s.firstAskedAt, program)
+		return 0
+	case ok:
+		return now.Sub(askedAt)
+	}
+	s.firstAskedAt[program] = now
+	return 0
+}
+
 // hasBegun reports whether an attempt of a program has delivered tokens or been completed, according to
 // the records so far, pending ones included. s.mu must be held.
 func (s *shard) hasBegun(program string) bool {
--- a/turn/begun_test.go
+++ b/turn/begun_test.go
@@ -1,6 +1,7 @@
 package turn_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,24 @@
 		})
 	}
 }
+
+// TestWaitOfAProgramCountsFromItsFirstAttempt guards against retries of a refused first turn that count as
+// new programs.
+func TestWaitOfAProgramCountsFromItsFirstAttempt(t *testing.T) {
+	withTestEnv(t, func(t *testing.T, env *testEnv) {
+		set := env.newShardSet()
+		for i, want := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond} {
+			attempt := fmt.Sprint(i)
+			admission, err := set.Begin(t.Context(), request("p", attempt, 1000))
+			require.NoError(t, err)
+			require.Equal(t, want, admission.Waited())
+			require.NoError(t, set.End(t.Context(), turn.EndRequest{Program: "p", Attempt: attempt}))
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.NoError(t, begin(t, set, request("p", "runs", 1000)))
+		require.NoError(t, set.End(t.Context(), turn.EndRequest{Program: "p", Attempt: "runs", DeliveredTokens: 5}))
+		admission, err := set.Begin(t.Context(), request("p", "next", 1000))
+		require.NoError(t, err)
+		require.Zero(t, admission.Waited())
+	})
+}
--- a/turn/interfaces.go
+++ b/turn/interfaces.go
@@ -1,6 +1,9 @@
 package turn
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Log is the platform's log: an append-only sequence of records for each shard, with
 // offsets that count records.
@@ -101,6 +104,9 @@
 	// Begun reports whether the home knew of an earlier turn or token of the program when it
 	// admitted the attempt.
 	Begun() bool
+	// Waited returns the time since the home of the program was first asked to begin it, 0 if it has
+	// begun. A new home counts from its own first attempt.
+	Waited() time.Duration
 	// Wait blocks until the begin record is safe from the loss of the process that
 	// admitted the attempt. If it returns an error, the attempt must not continue.
 	Wait(ctx context.Context) error
--- a/turn/maintain.go
+++ b/turn/maintain.go
@@ -72,6 +72,9 @@
 		clear(s.endpointBySession)
 		clear(s.firstSessionByProgram)
 	}
+	if len(s.firstAskedAt) > maxRememberedSessions {
+		clear(s.firstAskedAt)
+	}
 	s.mu.Unlock()
 	if before == 0 {
 		return
@@ -85,7 +88,7 @@
 }
 
 // maxRememberedSessions limits the sessions of a shard whose last endpoint is
-// remembered. All of them are forgotten when there are more.
+// remembered, and the programs that have not begun. All of them are forgotten when there are more.
 const maxRememberedSessions = 20_000
 
 // Status summarizes the shards in the memory of a process.
--- a/turn/shard.go
+++ b/turn/shard.go
@@ -49,6 +49,8 @@
 	endpointBySession map[string]string
 	// firstSessionByProgram holds the first session that each program ended a turn in.
 	firstSessionByProgram map[string]string
+	// firstAskedAt holds when this process was first asked to begin each program that has not begun.
+	firstAskedAt map[string]time.Time
 	// fetchedTextByAttempt holds the conversations found in other shards for attempts
 	// under way, which are written into this shard with their turns.
 	fetchedTextByAttempt map[string][]byte
@@ -91,7 +93,7 @@
 func newShard(set *ShardSet, number int) *shard {
 	return &shard{
 		set: set, number: number, lastUsedAt: time.Now(), state: newState(), leases: newLeaseLedger(), pendingByNumber: map[uint64]*writeOp{},
-		endpointBySession: map[string]string{}, firstSessionByProgram: map[string]string{}, fetchedTextByAttempt: map[string][]byte{},
+		endpointBySession: map[string]string{}, firstAskedAt: map[string]time.Time{}, firstSessionByProgram: map[string]string{}, fetchedTextByAttempt: map[string][]byte{},
 	}
 }
 
