Learn how fast endpoints are and share it among fronts

Endpoints of one service differ in speed (deployment B: 0.7, 0.7 and 1.7), but picks took them for equal up to 1.8 times the typical time, and two figures of one deployment's engine were constants.

Package speed holds the estimators: a window of the means of half seconds, and a fitted line. The directory learns the ratio of each incarnation's time to the median of its service from the time between events, or from that of plain requests, and merges it with the reports of other fronts (Gossip.speeds, one datagram of five, 60 entries). Picks count it once the endpoints of a service have differed by more than a fifth for two seconds, less the busier the service is. The prompt rate and the share of a further request are learned too.

--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -116,6 +116,10 @@
 	g.MixedServices = m.config.Directory.MixedServices(now)
 	g.MixedServices = g.MixedServices[:min(len(g.MixedServices), maxGossipServices)]
 	g.Limits = limitsToGossip(m.config.Directory.Limits(now), g.GetSequence())
+	m.refreshSpeeds(now)
+	if g.GetSequence()%speedsEvery == 0 {
+		g.Speeds = speedsToGossip(m.config.Directory.Speeds(now), g.GetSequence()/speedsEvery)
+	}
 	g.Departures = departuresToGossip(m.config.Directory.Departures(now), g.GetSequence())
 	return g
 }
@@ -212,6 +216,7 @@
 	m.config.Directory.UpdatePeerLoads(g.GetName(), loads, now)
 	m.applyLimits(g, now)
 	m.applyDepartures(g, now)
+	m.applySpeeds(g, heardAt, now)
 	m.config.Directory.ApplyMixedServices(g.GetMixedServices()[:min(len(g.GetMixedServices()), maxGossipServices)], now)
 	m.suspects.Apply(crashesFromGossip(g.GetCrashes(), heardAt), g.GetClearedRequests(), now)
 }
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -163,6 +163,9 @@
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
 		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
+	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lavendervale_endpoint_speed_ratio", Help: "Ratio of the time of the slowest endpoint to that of the fastest, of the service where it is greatest; 1 if none is known.",
+	}, f.directory.SpeedSpread))
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
 }
 
--- a/endpoint/cost.go
+++ b/endpoint/cost.go
@@ -10,10 +10,6 @@
 	// localDomainSaving is the time saved by an endpoint in the failure domain of this
 	// instance: a round trip between domains takes one to three milliseconds.
 	localDomainSaving = 2 * time.Millisecond
-	// loadShare is the share of a request's time that is added by each other request
-	// running at the endpoint: an engine's time per output token, 2.42 ms, grows by
-	// 0.036 ms per request.
-	loadShare = 0.015
 	// contentionShare is the expected wait, as a share of a request's time, at an endpoint
 	// with one free slot: load reports lag, and other instances may take the slot too.
 	contentionShare = 0.04
@@ -28,13 +24,24 @@
 	jitterShare = 0.02
 )
 
+// costInputs is what the costs of all endpoints of a service have in common.
+type costInputs struct {
+	// typical is the typical time of the request's kind.
+	typical time.Duration
+	// loadShare is the share of that time that is added by each other request running at the endpoint.
+	loadShare float64
+	// speedWeight is the weight of what a request takes longer or shorter at an endpoint because of its
+	// speed, from 0 to 1.
+	speedWeight float64
+}
+
 // cost returns the time in milliseconds that a request is expected to take at the endpoint
-// beyond its time at an idle one, less what the endpoint saves by its failure domain or its
-// cache. typical is the typical time of the request's kind.
-func (e *Endpoint) cost(q Query, typical time.Duration, now time.Time) float64 {
-	typicalMS := milliseconds(typical)
+// beyond its time at an idle one of median speed, less what the endpoint saves by its failure domain or
+// its cache.
+func (e *Endpoint) cost(q Query, in costInputs, now time.Time) float64 {
+	typicalMS := milliseconds(in.typical)
 	slots, load := float64(e.registration.Slots), float64(e.load())
-	penalty := loadShare*load + contentionShare*math.Pow((load+1)/slots, contentionPower)
+	penalty := in.loadShare*load + contentionShare*math.Pow((load+1)/slots, contentionPower)
 	// Beyond the slots, the request waits until enough others have finished.
 	if load >= slots {
 		penalty += (load - slots + 1) / slots
@@ -45,8 +52,9 @@
 	if e.limit.Named && e.registration.ID != q.PreferredID {
 		penalty += limitedShare
 	}
-	penalty += e.slowdown.excessIfSlow(now) + jitterShare*rand.Float64()
-	cost := penalty * typicalMS
+	// The slowdown is relative to the usual time at the endpoint itself.
+	penalty += e.slowdown.excessIfSlow(now)*e.speed.ratio() + jitterShare*rand.Float64()
+	cost := (penalty + in.speedWeight*e.speed.extra) * typicalMS
 	if !q.IgnoreDomain && e.registration.Domain == q.LocalDomain {
 		cost -= milliseconds(localDomainSaving)
 	}
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/lavendervale/lavendervale/speed"
 )
 
 const (
@@ -49,6 +51,11 @@
 	departures map[uint64]knownDeparture
 	// changed is closed and replaced by notifyChanged.
 	changed chan struct{}
+	// speeds holds what is known of the speeds of endpoints, by the names of their services.
+	speeds map[string]*serviceSpeeds
+	// speedsRefreshedAt is when RefreshSpeeds last computed them, and scratch the memory that it reuses.
+	speedsRefreshedAt time.Time
+	scratch           []speed.Weighted
 	// lastExpiryAt is when dropExpired last searched for expired endpoints.
 	lastExpiryAt time.Time
 }
@@ -57,7 +64,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		byID: map[string]*Endpoint{}, byKey: map[uint64]*Endpoint{}, byService: map[string][]*Endpoint{}, peers: newPeerLoads(), typicalTimes: map[string]time.Duration{},
-		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]knownDeparture{},
+		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]knownDeparture{}, speeds: map[string]*serviceSpeeds{},
 		changed: make(chan struct{}),
 	}
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -63,6 +63,7 @@
 	coldUntil time.Time
 	health    health
 	slowdown  slowdown
+	speed     endpointSpeed
 	limit     limitState
 	idle      idleConnections
 }
@@ -75,6 +76,8 @@
 	// kind is the kind of the request, from Query.Kind.
 	kind     string
 	pickedAt time.Time
+	// others is the number of other requests at the endpoint when it was picked.
+	others int
 	// limit is the rate limit of the endpoint when it was picked.
 	limit Limit
 }
--- a/endpoint/pick.go
+++ b/endpoint/pick.go
@@ -61,10 +61,11 @@
 	if best == nil {
 		return Target{}, result
 	}
+	others := best.load()
 	best.localRunning++
 	best.idle.take()
 	best.limit.permitPending = best.limit.Named
-	return Target{endpoint: best, registration: best.registration, kind: q.Kind, pickedAt: now, limit: best.limit.Limit}, Picked
+	return Target{endpoint: best, registration: best.registration, kind: q.Kind, pickedAt: now, others: others, limit: best.limit.Limit}, Picked
 }
 
 // canEject reports whether few enough endpoints are ejected to do without them; d.mu must be held.
@@ -87,8 +88,12 @@
 func (d *Directory) pick(endpoints []*Endpoint, q Query, now time.Time, skipEjected bool) (*Endpoint, PickResult) {
 	var best *Endpoint
 	lowestCost, result := 0.0, NoneUsable
-	typicalTime := d.typicalTime(q.Kind)
-	ignoreIdle := rand.Float64() < unbiasedShare
+	draw := rand.Float64()
+	ignoreIdle := draw < unbiasedShare
+	in := costInputs{typical: d.typicalTime(q.Kind), loadShare: d.speeds[q.Service].shareOfLoad()}
+	if draw >= exploringShare {
+		in.speedWeight = d.speedWeight(q.Service, endpoints, now)
+	}
 	for _, e := range endpoints {
 		if !d.usable(e, now) || (q.Version != "" && e.registration.Version != q.Version) || q.ExcludedIDs[e.registration.ID] || (skipEjected && e.health.ejected(q.Once, now)) {
 			continue
@@ -97,7 +102,7 @@
 			result = AllBusy
 			continue
 		}
-		cost := e.cost(q, typicalTime, now)
+		cost := e.cost(q, in, now)
 		if !ignoreIdle {
 			cost -= milliseconds(e.idle.saving(q.Once, now))
 		}
--- a/endpoint/simulation_test.go
+++ b/endpoint/simulation_test.go
@@ -112,10 +112,27 @@
 	onTime   int
 	// preferHolder makes fronts prefer the engine that holds the conversation.
 	preferHolder bool
+	// speeds are the speeds of the engines in turn, as ratios to the nominal one; nil if all have that.
+	speeds []float64
+	// learnSpeeds makes fronts observe the events of streams and exchange the speeds of engines.
+	learnSpeeds bool
+	// gossipPhases is the number of groups of fronts that send reports at different times, each every
+	// gossipInterval; 0 is one. gossipRounds counts the exchanges.
+	gossipPhases int
+	gossipRounds int
+	// turnTimes are the times of all turns that ended after measureAfter, without those outside of
+	// engines.
+	turnTimes    []time.Duration
+	measureAfter time.Time
 }
 
 // newSimulation returns a simulation whose fronts know all engines.
 func newSimulation(t *testing.T, seed uint64, preferHolder bool) *simulation {
+	return newSimulationOf(t, seed, preferHolder, frontCount, engineCount)
+}
+
+// newSimulationOf returns a simulation of the given size.
+func newSimulationOf(t *testing.T, seed uint64, preferHolder bool, frontCount, engineCount int) *simulation {
 	s := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), preferHolder: preferHolder}
 	start := time.Unix(0, 0)
 	for range engineCount {
@@ -135,9 +152,13 @@
 	heap.Push(&s.events, simEvent{t, do})
 }
 
-// gossip exchanges the load reports of all fronts, and schedules the next exchange.
+// gossip exchanges the load reports of fronts, and schedules the next exchange.
 func (s *simulation) gossip(now time.Time) {
+	phases := max(1, s.gossipPhases)
 	for i, from := range s.fronts {
+		if i%phases != s.gossipRounds%phases {
+			continue
+		}
 		loads := from.Loads()
 		for j, to := range s.fronts {
 			if i != j {
@@ -145,7 +166,11 @@
 			}
 		}
 	}
-	s.at(now.Add(gossipInterval), s.gossip)
+	if s.learnSpeeds && s.gossipRounds%phases == 0 {
+		s.exchangeSpeeds(now, s.gossipRounds/phases)
+	}
+	s.gossipRounds++
+	s.at(now.Add(gossipInterval/time.Duration(phases)), s.gossip)
 }
 
 // runTurn runs one turn of a conversation at a random front and calls then at its end. A turn
@@ -171,11 +196,19 @@
 		missing := e.readTokens(conversation, promptTokens)
 		s.readTokens += missing
 		s.totalPromptTokens += promptTokens
-		tookMS := float64(missing)/prefillTokensPerMS + outputTokensPerTurn*(stepMS+stepMSPerRequest*float64(e.running))
+		tokenMS := (stepMS + stepMSPerRequest*float64(e.running)) / s.speed(index)
+		firstMS := float64(missing)/prefillTokensPerMS/s.speed(index) + tokenMS
+		if s.learnSpeeds {
+			s.observeTurn(front, target, holder == "", promptTokens, firstMS, tokenMS, now)
+		}
+		tookMS := firstMS + (outputTokensPerTurn-1)*tokenMS
 		s.at(now.Add(time.Duration(tookMS*float64(time.Millisecond))), func(now time.Time) {
 			e.running--
 			front.Release(target)
 			front.RecordSuccess(target, now)
+			if now.After(s.measureAfter) {
+				s.turnTimes = append(s.turnTimes, now.Sub(target.PickedAt()))
+			}
 			if len(e.queue) > 0 {
 				next := e.queue[0]
 				e.queue = e.queue[1:]
--- a/endpoint/slowdown.go
+++ b/endpoint/slowdown.go
@@ -67,6 +67,8 @@
 // now; d.mu must be held.
 func (d *Directory) recordDuration(e *Endpoint, t Target, now time.Time) {
 	duration := now.Sub(t.pickedAt)
+	// The time at a median endpoint: what is permanent about the endpoint's speed is no slowdown.
+	duration = time.Duration(float64(duration) / e.speed.ratio())
 	typical, ok := d.typicalTimes[t.kind]
 	if !ok {
 		d.typicalTimes[t.kind] = duration
@@ -91,6 +93,6 @@
 	defer d.mu.Unlock()
 	typical, known := d.typicalTimes[t.kind]
 	if e, ok := d.find(t); ok && known {
-		e.slowdown.observe(float64(now.Sub(t.pickedAt))/float64(max(typical, time.Millisecond)), now)
+		e.slowdown.observe(float64(now.Sub(t.pickedAt))/e.speed.ratio()/float64(max(typical, time.Millisecond)), now)
 	}
 }
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -11,7 +11,9 @@
 
 // forwardEvents passes the events of a response on until its end.
 func (s *streaming) forwardEvents(ctx context.Context, response Response) error {
+	timer := eventTimer{sentAt: s.sentAt}
 	for {
+		timer.beginRead(time.Now())
 		event, err := response.Next()
 		if err == io.EOF {
 			return s.checkNotEmpty(response)
@@ -22,6 +24,7 @@
 		if err := s.checkEvent(event); err != nil {
 			return err
 		}
+		s.observeEvent(&timer, event)
 		if err := s.sendHead(ctx, response); err != nil {
 			return err
 		}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -34,7 +34,9 @@
 		result := c.sendHedged(ctx)
 		c.target = result.target
 		if result.succeeded() {
-			c.Directory.RecordSuccess(result.target, time.Now())
+			now := time.Now()
+			c.Directory.RecordRequestTime(result.target, now)
+			c.Directory.RecordSuccess(result.target, now)
 			c.respond(ctx, w, result.response)
 			result.end()
 			return
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,9 +14,6 @@
 	// maxQueuedEngine is how many requests beyond its slots an engine may hold; the engine
 	// orders these by priority itself.
 	maxQueuedEngine = 3
-	// prefillTokensPerMS is the number of prompt tokens that an engine reads per
-	// millisecond, which is the same in all deployments.
-	prefillTokensPerMS = 150
 	// evictionFactor is the cost of reading a prompt at an engine that does not hold its
 	// conversation, in reads of that prompt. It is above 1 because the prompt evicts other
 	// conversations from the engine's memory, whose next turns evict further ones.
@@ -59,6 +56,8 @@
 	resumedAt time.Time
 	// openedAt is when the connection of the latest attempt was opened.
 	openedAt time.Time
+	// sentAt is when the latest attempt began.
+	sentAt time.Time
 	// confirmReads counts the reads of the registrations that attempts to resume the stream waited for.
 	confirmReads int
 	// originSequence numbers the origins that were recorded for the stream, and origin is the
@@ -150,6 +149,7 @@
 // It returns nil after the last event of a complete stream.
 func (s *streaming) attempt(ctx context.Context) error {
 	s.attempts++
+	s.sentAt = time.Now()
 	openedAfter, admit := s.connectionRules()
 	response, err := s.Transport.Send(ctx, s.target, EndpointRequest{
 		Request: s.request, Context: s.admission.Text(), Deadline: s.deadline, Priority: s.enginePriority(), LastEventID: s.lastEventID, Customer: s.customer.Name,
@@ -200,7 +200,7 @@
 // cacheSaving returns the time saved by sending the turn to the endpoint that holds its
 // conversation.
 func (s *streaming) cacheSaving() time.Duration {
-	return time.Duration(evictionFactor * float64(s.request.PromptTokens) / prefillTokensPerMS * float64(time.Millisecond))
+	return time.Duration(evictionFactor * float64(s.request.PromptTokens) / s.promptRate() * float64(time.Millisecond))
 }
 
 // enginePriority returns the request's priority inside an engine, from 1 for rank 0 up to
