--- a/daemon/front.go
+++ b/daemon/front.go
@@ -181,6 +181,9 @@
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
 		TurnTracker: f.mesh, Overload: f.newOverload(), CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Shares: f.useRecorder(), Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
+	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lavendervale_endpoint_speed_ratio", Help: "Ratio of the time of the slowest endpoint to that of the fastest, of the service where it is greatest; 1 if none is known.",
+	}, f.directory.SpeedSpread))
 	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
 	f.parts = []func(context.Context){f.mesh.Run, f.storeWatch.Run, f.versionHistory.Run, f.endpointClient.Run, f.shardSet.Run, f.register, f.start}
 }
