platform, daemon: bound the memory of connections and heads

Change: headConn reads a head whole, within a memory.Budget of a fifth of the memory, and reserves the cost of parsing it before net/http sees it. The connection that waited longest for a request is closed when the budget is used up; a request without room is refused with 503 and Retry-After.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -72,6 +72,12 @@
 	recordWriteRatio = 0.75
 	// bufferRatio is the part of FrontConfig.MemoryMB that requests in progress may hold in buffers.
 	bufferRatio = 0.15
+	// connectionRatio is the part of FrontConfig.MemoryMB that connections of callers and the parsed
+	// heads of their requests may hold.
+	connectionRatio = 0.2
+	// metricsInFlight bounds the metrics requests served at once: each takes about 1 MB while its answer is
+	// compressed and written.
+	metricsInFlight = 4
 	// exitReserveRatio is the part of the grace period that is reserved for closing. The
 	// platform does not count a request as failed when it is cut off in the last sixth of
 	// the grace period.
@@ -163,7 +169,11 @@
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
 		TurnTracker: f.mesh, CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
-	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
+	f.ingress = platform.NewIngress(platform.IngressConfig{
+		Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(),
+		Connections: memory.NewBudget(memory.BudgetConfig{CapacityBytes: int64(connectionRatio * float64(c.MemoryMB) * (1 << 20)), ConnectionBytes: platform.ConnectionBytes}),
+		Metrics:     f.registry, Logger: c.Logger,
+	})
 }
 
 // newLimiter returns the limiter of the buffers of requests in progress, with its metrics.
@@ -211,7 +221,7 @@
 	wg.Go(func() { serveErrs <- f.ingress.Serve() })
 	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), c.Logger, serveErrs)}
 	if metricsListener := f.listeners.metrics; metricsListener != nil {
-		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), c.Logger, serveErrs))
+		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{MaxRequestsInFlight: metricsInFlight}), c.Logger, serveErrs))
 	}
 	var err error
 	select {
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -6,8 +6,12 @@
 )
 
 const (
-	// largeShare is the part of the capacity of a Budget that large requests may use up. The rest
-	// stays free for ordinary ones, which a few large requests would shut out otherwise.
+	// requestShare is the part of the capacity of a Budget that connections with a request in progress
+	// may hold. The rest stays free for connections whose requests have not been read: without it,
+	// those would be closed for new connections at once, instead of being refused with an answer.
+	requestShare = 0.9
+	// largeShare is the part up to which large requests begin. The rest stays free for ordinary ones,
+	// which a few large requests would shut out otherwise.
 	largeShare = 0.75
 	// largeBytes is the cost from which a request counts as large; ordinary heads cost less than 20 KiB.
 	largeBytes = 64 << 10
@@ -16,6 +20,18 @@
 	maxUnclosed = 64
 )
 
+// use is what bytes are reserved for.
+type use uint8
+
+const (
+	// opening is for a new connection.
+	opening use = iota
+	// growing is for a request that has not arrived whole.
+	growing
+	// beginning is for a request that has arrived whole and is then served.
+	beginning
+)
+
 // BudgetConfig holds the settings of a Budget.
 type BudgetConfig struct {
 	// CapacityBytes is what all connections may hold together; 0 is unlimited.
@@ -75,7 +91,7 @@
 	for b.unclosed >= maxUnclosed {
 		b.changed.Wait()
 	}
-	ok, evicted := b.makeRoomLocked(s, b.config.ConnectionBytes, true)
+	ok, evicted := b.makeRoomLocked(s, b.config.ConnectionBytes, opening)
 	if ok {
 		b.open++
 		b.addLocked(s, b.config.ConnectionBytes)
@@ -106,14 +122,14 @@
 // Grow adds bytes of a request that has not arrived whole. It returns an error of KindExhausted and
 // adds nothing if the connection is the one that has waited longest or no other one can be closed,
 // and of KindEvicted after an eviction.
-func (s *Share) Grow(bytes int64) error { return s.reserve(bytes, false) }
+func (s *Share) Grow(bytes int64) error { return s.reserve(bytes, growing) }
 
 // Begin adds the bytes that serving a request takes. From then on the connection is not evicted,
 // until Wait is called. Errors are as those of Grow.
-func (s *Share) Begin(bytes int64) error { return s.reserve(bytes, true) }
+func (s *Share) Begin(bytes int64) error { return s.reserve(bytes, beginning) }
 
-// reserve adds bytes, and ends the wait for a request if begins is set.
-func (s *Share) reserve(bytes int64, begins bool) error {
+// reserve adds bytes, and ends the wait for a request if one begins.
+func (s *Share) reserve(bytes int64, kind use) error {
 	const op = "reserve memory of connection"
 	if s == nil || s.budget == nil {
 		return nil
@@ -124,11 +140,11 @@
 		b.mu.Unlock()
 		return Errorf(op, KindEvicted, "the connection had waited longest for a request, or is closed")
 	}
-	ok, evicted := b.makeRoomLocked(s, bytes, begins)
+	ok, evicted := b.makeRoomLocked(s, bytes, kind)
 	used := b.used
 	if ok {
 		b.addLocked(s, bytes)
-		if begins {
+		if kind == beginning {
 			b.setWaitingLocked(s, false)
 		}
 	}
@@ -188,27 +204,32 @@
 // returns whether they do. A request that begins may have any other waiting connection closed, a head
 // that grows only those that have waited longer. The second result must be passed to closeAll
 // without the lock.
-func (b *Budget) makeRoomLocked(s *Share, bytes int64, begins bool) (bool, []*Share) {
+func (b *Budget) makeRoomLocked(s *Share, bytes int64, kind use) (bool, []*Share) {
 	limit := b.config.CapacityBytes
 	if limit == 0 {
 		return true, nil
 	}
-	if s.bytes+bytes-b.config.ConnectionBytes >= largeBytes {
-		limit = int64(largeShare * float64(limit))
-	}
-	evictable := b.waitingBytes
+	othersWaiting := b.waitingBytes
 	if s.position != nil {
-		evictable -= s.bytes
+		othersWaiting -= s.bytes
+	}
+	// held is what all hold that can't be evicted, s included. What can't fit beside it must not cost
+	// others their connections.
+	held, heldLimit := b.used-othersWaiting+bytes, limit
+	switch {
+	case kind == beginning && s.bytes+bytes-b.config.ConnectionBytes >= largeBytes:
+		heldLimit = int64(largeShare * float64(limit))
+	case kind == beginning:
+		heldLimit = int64(requestShare * float64(limit))
 	}
-	// What can't fit must not cost others their connections.
-	if b.used-evictable+bytes > limit {
+	if held > heldLimit {
 		return false, nil
 	}
 	var evicted []*Share
 	for b.used+bytes > limit {
 		longest := b.waiting.Front()
 		if longest == s.position {
-			if !begins {
+			if kind == growing {
 				return false, evicted
 			}
 			longest = longest.Next()
