--- a/daemon/front.go
+++ b/daemon/front.go
@@ -81,6 +81,12 @@
 	recordWriteRatio = 0.75
 	// bufferRatio is the part of FrontConfig.MemoryMB that requests in progress may hold in buffers.
 	bufferRatio = 0.15
+	// connectionRatio is the part of FrontConfig.MemoryMB that connections of callers and the parsed
+	// heads of their requests may hold.
+	connectionRatio = 0.2
+	// metricsInFlight bounds the metrics requests served at once: each takes about 1 MB while its answer is
+	// compressed and written.
+	metricsInFlight = 4
 	// exitReserveRatio is the part of the grace period that is reserved for closing. The
 	// platform does not count a request as failed when it is cut off in the last sixth of
 	// the grace period.
@@ -184,7 +190,11 @@
 	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lavendervale_endpoint_speed_ratio", Help: "Ratio of the time of the slowest endpoint to that of the fastest, of the service where it is greatest; 1 if none is known.",
 	}, f.directory.SpeedSpread))
-	f.ingress = platform.NewIngress(platform.IngressConfig{Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(), Logger: c.Logger})
+	f.ingress = platform.NewIngress(platform.IngressConfig{
+		Listener: f.listeners.callers, Handler: f.gateway, Routes: f.routes, Memory: f.newLimiter(),
+		Connections: memory.NewBudget(memory.BudgetConfig{CapacityBytes: int64(connectionRatio * float64(c.MemoryMB) * (1 << 20)), ConnectionBytes: platform.ConnectionBytes}),
+		Metrics:     f.registry, Logger: c.Logger,
+	})
 	f.parts = []func(context.Context){f.mesh.Run, f.storeWatch.Run, f.versionHistory.Run, f.endpointClient.Run, f.shardSet.Run, f.register, f.start}
 }
 
@@ -254,7 +264,7 @@
 	wg.Go(func() { serveErrs <- f.ingress.Serve() })
 	httpServers := []*http.Server{serveHTTP(f.listeners.ready, f.readyHandler(), c.Logger, serveErrs)}
 	if metricsListener := f.listeners.metrics; metricsListener != nil {
-		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}), c.Logger, serveErrs))
+		httpServers = append(httpServers, serveHTTP(metricsListener, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{MaxRequestsInFlight: metricsInFlight}), c.Logger, serveErrs))
 	}
 	var err error
 	drains, ended := false, make(chan struct{})
