Keep the activity of customers apart from the wall clock

A clock that is set forward would make all customers inactive for the fair share until their next request. Times are now those since the first operation of the ledger, with the monotonic clock.

--- a/share/ledger.go
+++ b/share/ledger.go
@@ -51,6 +51,8 @@
 	index     map[uint64]int
 	// reports holds the last report of each other front.
 	reports map[string]*report
+	// startedAt is the time of the first operation.
+	startedAt time.Time
 	// now is the latest time that a caller gave: clocks read before a lock may arrive out of order.
 	now time.Time
 	// base is the time at which decayed sums are stored without a factor, see growth.
@@ -67,8 +69,8 @@
 // customer is the state of one customer. Decayed sums are in milliseconds times growth.
 type customer struct {
 	id uint64
-	// activeAt is the time of the last sign of demand, as nanoseconds after 1970.
-	activeAt int64
+	// activeAt is the time of the last sign of demand since Ledger.startedAt: the wall clock may be set.
+	activeAt time.Duration
 	// own is what this front recorded.
 	own sums
 	// reported is the sum of the last reports of other fronts in milliseconds, faded that of
@@ -106,7 +108,7 @@
 	defer l.mu.Unlock()
 	now = l.advance(now)
 	c := l.customer(hash(name))
-	c.activeAt = now.UnixNano()
+	c.activeAt = now.Sub(l.startedAt)
 	change(&c.own, l.growth(now))
 }
 
@@ -122,7 +124,7 @@
 
 // Under reports whether a customer is clearly below its max-min fair share while the capacity is not
 // enough for all, so that its programs may go before those of others. It is false for a request
-// without a customer, and whenever no other front or customer is known to compete.
+// without a customer, and if no other customer is known.
 func (l *Ledger) Under(customer string, capacity float64, now time.Time) bool {
 	if customer == "" {
 		return false
@@ -162,7 +164,7 @@
 func (l *Ledger) refresh(now time.Time) {
 	l.refreshedAt = now
 	l.expireReports(now)
-	growth, activeFrom, active := l.growth(now), now.Add(-activeDuration).UnixNano(), 0
+	growth, activeFrom, active := l.growth(now), now.Sub(l.startedAt)-activeDuration, 0
 	for i := range l.customers {
 		if l.customers[i].activeAt >= activeFrom {
 			active++
@@ -211,6 +213,9 @@
 	if now.Before(l.now) {
 		return l.now
 	}
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
 	l.now = now
 	if l.base.IsZero() || now.Sub(l.base) > maxElapsed {
 		decay := 1 / l.growth(now)
--- a/share/ledger_test.go
+++ b/share/ledger_test.go
@@ -329,7 +329,7 @@
 				// 10,000 requests a second, of all customers in turn.
 				now = now.Add(100 * time.Microsecond)
 				requests++
-				l.customers[requests%customers].activeAt = now.UnixNano()
+				l.customers[requests%customers].activeAt = now.Sub(l.startedAt)
 				l.Ask("customer-7", time.Millisecond, now)
 				l.Over("customer-7", 100, now)
 			}
--- a/share/report.go
+++ b/share/report.go
@@ -107,7 +107,7 @@
 	l.count(r, 1)
 	for _, u := range r.uses {
 		c := l.customer(u.Customer)
-		c.activeAt = max(c.activeAt, at.UnixNano())
+		c.activeAt = max(c.activeAt, at.Sub(l.startedAt))
 	}
 }
 
