Draw slow readers, floods, speeds of engines and hostile heads in the soak

Change: four faults from the seed. slow-reader: 16 callers that read 4 KiB each 2 or 20 ms or nothing in time, also answers of 1 MiB. flood: 40 more callers of one customer with a quota; all other callers belong to another customer, so the configuration of the soak has customers now. speed: an engine is 0.4 to 2.5 times as fast. hostile-head: 40 connections to a port of a front with heads of thousands of lines, over the limit, without end, of empty lines or half sent. The unknown fault in TestParseFaults is named earthquake, since flood is known now.

The check of memory is stricter: the peak of every process (VmHWM), read each 0.5 s, in place of the resident memory in samples of the process that runs at the end. A process that was ended within 0.5 s is not measured.

--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +20,10 @@
 	dialTimeout = time.Second
 	// answerSlack is how much longer than its deadline a caller waits for an answer.
 	answerSlack = time.Second
+	// slowReadBytes is what a caller that reads slowly takes at once, and the size of its receive buffer.
+	slowReadBytes = 4 << 10
+	// usualCustomer has no quota; floodCustomer has one of floodRate requests a second.
+	usualCustomer, floodCustomer, floodRate = "usual", "flood", 80.0
 	// maxAnswerBytes bounds the part of an answer that a caller keeps.
 	maxAnswerBytes = 4 << 20
 )
@@ -52,13 +57,34 @@
 	reader *bufio.Reader
 	// process names the process that accepted the connection.
 	process string
+	// key is the key of the customer.
+	key string
 }
 
+// keyOf returns the key of a customer.
+func keyOf(customer string) string { return "key-" + customer }
+
 // caller sends requests one after the other and keeps its connections to the fronts open until
 // they fail.
 type caller struct {
 	site  *site
 	conns map[int]*callerConn
+	// customer is the customer that the caller belongs to, usualCustomer if it is empty.
+	customer string
+	// readPause is the time before each read of slowReadBytes, zero for a caller that reads at once.
+	readPause time.Duration
+}
+
+// pacedConn reads slowly.
+type pacedConn struct {
+	net.Conn
+	pause time.Duration
+}
+
+// Read reads at most slowReadBytes after a pause.
+func (c pacedConn) Read(b []byte) (int, error) {
+	time.Sleep(c.pause)
+	return c.Conn.Read(b[:min(len(b), slowReadBytes)])
 }
 
 // lastID makes the IDs of requests different.
@@ -99,7 +125,11 @@
 	if err != nil {
 		return nil, err
 	}
-	open := &callerConn{Conn: conn, reader: bufio.NewReader(conn)}
+	if c.readPause > 0 {
+		_ = conn.(*net.TCPConn).SetReadBuffer(slowReadBytes)
+		conn = pacedConn{conn, c.readPause}
+	}
+	open := &callerConn{Conn: conn, reader: bufio.NewReader(conn), key: keyOf(cmp.Or(c.customer, usualCustomer))}
 	if before == f.currentName() {
 		open.process = before
 	}
@@ -121,7 +151,7 @@
 		return err
 	}
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n", r.method, r.path, host, got.id, r.deadline.Milliseconds(), len(r.body))
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n", r.method, r.path, host, c.key, got.id, r.deadline.Milliseconds(), len(r.body))
 	for name, value := range r.header {
 		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 	}
--- a/standin/soak/end.go
+++ b/standin/soak/end.go
@@ -58,17 +58,22 @@
 	return ""
 }
 
-// level is what a process holds of the machine.
-type level struct{ files, residentMB int }
+// level is what a process holds of the machine: open files now, and the most resident memory so far.
+type level struct{ files, peakMB int }
 
-// faultOf returns what is wrong about the levels of a process, or "". before is the level when it
-// became ready, peak the highest one of the run, after the one when all callers have gone.
-func faultOf(before, peak, after level) string {
-	switch {
-	case peak.residentMB > memoryMB:
-		return fmt.Sprintf("held %d MB of memory, allowed are %d", peak.residentMB, memoryMB)
-	case after.files > before.files+spareFiles:
-		return fmt.Sprintf("holds %d open files after its callers have gone, %d when it became ready", after.files, before.files)
+// memoryFault returns what is wrong about the memory of a process, or "".
+func (l level) memoryFault() string {
+	if l.peakMB > memoryMB {
+		return fmt.Sprintf("held %d MB of memory, allowed are %d", l.peakMB, memoryMB)
+	}
+	return ""
+}
+
+// filesFault returns what is wrong about the level after the callers have gone, or "". before is the
+// level when the process became ready.
+func (l level) filesFault(before level) string {
+	if l.files > before.files+spareFiles {
+		return fmt.Sprintf("holds %d open files after its callers have gone, %d when it became ready", l.files, before.files)
 	}
 	return ""
 }
--- a/standin/soak/end_test.go
+++ b/standin/soak/end_test.go
@@ -44,10 +44,11 @@
 }
 
 func TestLevels(t *testing.T) {
-	before := level{files: 20, residentMB: 20}
-	require.Empty(t, faultOf(before, level{files: 200, residentMB: memoryMB}, before))
-	require.Equal(t, "held 155 MB of memory, allowed are 154", faultOf(before, level{residentMB: memoryMB + 1}, before))
-	require.Equal(t, "holds 121 open files after its callers have gone, 20 when it became ready", faultOf(before, before, level{files: 20 + spareFiles + 1}))
+	before := level{files: 20}
+	require.Empty(t, level{files: 200, peakMB: memoryMB}.memoryFault())
+	require.Equal(t, "held 155 MB of memory, allowed are 154", level{peakMB: memoryMB + 1}.memoryFault())
+	require.Empty(t, level{files: 20 + spareFiles}.filesFault(before))
+	require.Equal(t, "holds 121 open files after its callers have gone, 20 when it became ready", level{files: 20 + spareFiles + 1}.filesFault(before))
 }
 
 func TestScheduleOfASeedIsTheSame(t *testing.T) {
@@ -84,6 +85,6 @@
 			require.Equal(t, test.want, got)
 		})
 	}
-	_, err = ParseFaults("flood")
-	require.EqualError(t, err, `parse faults: no fault is named "flood"`)
+	_, err = ParseFaults("earthquake")
+	require.EqualError(t, err, `parse faults: no fault is named "earthquake"`)
 }
--- a/standin/soak/endpoint.go
+++ b/standin/soak/endpoint.go
@@ -24,6 +24,8 @@
 	slots, maxRunning = 8, 24
 	// drainTime is how long an endpoint serves after it has said that it leaves.
 	drainTime = 2500 * time.Millisecond
+	// slowest and fastest bound the factor by which the speed of an engine changes.
+	slowest, fastest = 0.4, 2.5
 	// excuseTime is how long before its end the runs of an endpoint are disrupted by it.
 	excuseTime = 5 * time.Second
 )
@@ -56,6 +58,8 @@
 	state        string
 	moodNow      mood
 	moodEnds     time.Time
+	speed        float64
+	speedEnds    time.Time
 	random       *rand.Rand
 	worker       *worker.Worker
 	server       *http.Server
@@ -256,6 +260,13 @@
 	e.moodNow, e.moodEnds = m, time.Now().Add(span)
 }
 
+// setSpeed changes the speed of the endpoint by a factor for a while.
+func (e *endpoint) setSpeed(factor float64, span time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.speed, e.speedEnds = factor, time.Now().Add(span)
+}
+
 // serve serves a request with the worker, unless too many run.
 func (e *endpoint) serve(out http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(connKey{}).(*endpointConn)
--- a/standin/soak/front.go
+++ b/standin/soak/front.go
@@ -207,7 +207,7 @@
 
 // watch follows a process to its end, checks it, and starts the next one.
 func (f *front) watch(p *process) {
-	unready, draining, looks := time.Duration(0), time.Duration(0), 0
+	unready, draining, looks, overMemory := time.Duration(0), time.Duration(0), 0, false
 	for ended := false; !ended; {
 		select {
 		case <-p.done:
@@ -218,8 +218,11 @@
 		if !p.runs() {
 			continue
 		}
-		if looks++; looks%5 == 0 {
-			p.measure()
+		if looks++; looks%5 == 0 && !overMemory {
+			if wrong := p.measure().memoryFault(); wrong != "" {
+				overMemory = true
+				f.site.observer.report("FAULT", "%s %s", p.name, wrong)
+			}
 		}
 		if p.ending().stopped {
 			if draining += watchInterval; draining > grace+f.config.GraceSlack {
--- a/standin/soak/inject.go
+++ b/standin/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"syscall"
@@ -48,6 +49,12 @@
 		return s.applyToEndpoint(e)
 	case FaultLinkDelay, FaultLinkReset, FaultLinkOneWay, FaultLinkSilent:
 		s.applyToLink(e)
+	case FaultSpeed:
+		s.engines[e.target%len(s.engines)].setSpeed(slowest*math.Pow(fastest/slowest, float64(e.variant%1000)/999), e.span)
+	case FaultSlowReader, FaultFlood:
+		s.playFor(e)
+	case FaultHostileHead:
+		s.applyHostileHeads(e, s.fronts[e.target%len(s.fronts)])
 	case FaultKillAll:
 		for _, f := range s.fronts {
 			f.process().end(syscall.SIGKILL, e.span)
--- a/standin/soak/observe_test.go
+++ b/standin/soak/observe_test.go
@@ -209,7 +209,7 @@
 }
 
 func TestPlainAnswer(t *testing.T) {
-	whole := plainAnswer("i-app0.1", "a")
+	whole := plainAnswer("i-app0.1", "a", plainBytes)
 	require.True(t, isPlainAnswer(whole, "a"))
 	require.False(t, isPlainAnswer(whole, "b"))
 	require.False(t, isPlainAnswer(whole[:len(whole)-1], "a"))
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -11,7 +11,7 @@
 // Fault names a kind of fault that a schedule draws.
 type Fault string
 
-// Faults of fronts, of endpoints, of the store and of the connections between them.
+// Faults of fronts, of endpoints, of the store, of the connections between them and of callers.
 const (
 	// FaultKill, FaultStop, FaultPause and FaultHangup send a signal to a front.
 	FaultKill   Fault = "kill"
@@ -65,6 +65,16 @@
 	FaultLinkReset  Fault = "link-reset"
 	FaultLinkOneWay Fault = "link-oneway"
 	FaultLinkSilent Fault = "link-silent"
+
+	// FaultSpeed changes the speed of an engine by a factor of 0.4 to 2.5.
+	FaultSpeed Fault = "speed"
+
+	// FaultSlowReader lets callers read their answers slowly or stop reading, FaultFlood lets one
+	// customer send many times its usual load, and FaultHostileHead opens connections to a front
+	// with heads that are odd, too long or incomplete.
+	FaultSlowReader  Fault = "slow-reader"
+	FaultFlood       Fault = "flood"
+	FaultHostileHead Fault = "hostile-head"
 )
 
 // faults lists all faults with how often they are drawn.
@@ -78,6 +88,7 @@
 	{FaultStoreAway, 1}, {FaultStoreSlow, 1}, {FaultStoreReset, 1}, {FaultStoreLose, 1}, {FaultStoreSilent, 1},
 	{FaultConfig, 3},
 	{FaultLinkDelay, 2}, {FaultLinkReset, 2}, {FaultLinkOneWay, 2}, {FaultLinkSilent, 2},
+	{FaultSpeed, 3}, {FaultSlowReader, 2}, {FaultFlood, 2}, {FaultHostileHead, 2},
 }
 
 const (
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -28,8 +28,9 @@
 	paused          int
 	ready           bool
 	// stay is how long the front is down after the process, zero for the usual time.
-	stay         time.Duration
-	before, peak level
+	stay time.Duration
+	// before is the level when the process became ready, held the last one.
+	before, held level
 }
 
 // startProcess starts the binary with a settings file. If pipeSpan is not zero, its standard
@@ -162,15 +163,15 @@
 	}
 	data, _ := os.ReadFile(filepath.Join(dir, "status"))
 	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			l.residentMB = kb / 1024
+			l.peakMB = (kb + 1023) / 1024
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peak = level{files: max(p.peak.files, l.files), residentMB: max(p.peak.residentMB, l.residentMB)}
-	return l
+	p.held = level{files: l.files, peakMB: max(p.held.peakMB, l.peakMB)}
+	return p.held
 }
 
 // lastLines returns the end of the log of the process.
--- a/standin/soak/respond.go
+++ b/standin/soak/respond.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// plainBytes is the length of a plain answer.
-	plainBytes = 800
+	// plainBytes is the length of a plain answer, longBytes that of one to a request for longPath.
+	plainBytes, longBytes = 800, 1 << 20
+	longPath              = "/alert/long"
 	// spoiled is the share of its answers that an endpoint in a mood spoils.
 	spoiled = 0.4
 )
@@ -20,16 +21,16 @@
 // quietLog discards what servers log about broken connections.
 var quietLog = log.New(io.Discard, "", 0)
 
-// plainAnswer returns the body of a plain answer.
-func plainAnswer(endpoint, id string) string {
+// plainAnswer returns the body of a plain answer of a length.
+func plainAnswer(endpoint, id string, length int) string {
 	text := "answer of " + endpoint + " to " + id + " "
-	return text + strings.Repeat("x", max(0, plainBytes-len(text)))
+	return text + strings.Repeat("x", max(0, length-len(text)))
 }
 
 // isPlainAnswer reports whether a body is a whole plain answer to a request.
 func isPlainAnswer(body, id string) bool {
 	endpoint, _, ok := strings.Cut(strings.TrimPrefix(body, "answer of "), " to ")
-	return ok && body == plainAnswer(endpoint, id)
+	return ok && (body == plainAnswer(endpoint, id, plainBytes) || body == plainAnswer(endpoint, id, longBytes))
 }
 
 // response is how an endpoint answers a request.
@@ -55,6 +56,9 @@
 		a.mood = e.moodNow
 	}
 	a.pace = time.Duration(4+e.random.IntN(14)) * time.Millisecond
+	if time.Now().Before(e.speedEnds) {
+		a.pace = time.Duration(float64(a.pace) / e.speed)
+	}
 	a.at, a.place, a.torn = e.random.Float64(), e.random.Float64(), e.random.IntN(4) == 0
 	e.mu.Unlock()
 	if e.streaming {
@@ -72,7 +76,11 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
-	text := plainAnswer(a.name, id)
+	length := plainBytes
+	if r.URL.Path == longPath {
+		length = longBytes
+	}
+	text := plainAnswer(a.name, id, length)
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Stamp: " + out.Header().Get("Response-Stamp") + "\r\n"
 	switch a.mood {
 	case moodBreak, moodCut:
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -140,10 +140,10 @@
 	}
 	after := p.measure()
 	p.mu.Lock()
-	before, peak := p.before, p.peak
+	before := p.before
 	p.mu.Unlock()
-	s.logf("%s: %+v when ready, at most %+v, %+v after the callers have gone", p.name, before, peak, after)
-	if wrong := faultOf(before, peak, after); wrong != "" {
+	s.logf("%s: %+v when ready, %+v after the callers have gone", p.name, before, after)
+	if wrong := after.filesFault(before); wrong != "" {
 		s.observer.report("FAULT", "%s %s", p.name, wrong)
 	}
 }
--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -14,7 +14,7 @@
 	binary := filepath.Join(t.TempDir(), "lavendervaled")
 	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/lavendervaled").CombinedOutput()
 	require.NoError(t, err, string(output))
-	faults, err := ParseFaults("kill,stop,pause,hangup,crash,replace,break,cut,unframed,late,config,store-slow,link-delay,link-reset")
+	faults, err := ParseFaults("kill,stop,pause,hangup,crash,replace,break,cut,unframed,late,config,store-slow,link-delay,link-reset,speed,slow-reader,flood,hostile-head")
 	require.NoError(t, err)
 	result, err := Run(Config{
 		Binary: binary, Out: t.TempDir(), Seed: 1, Duration: 18 * time.Second, Fronts: 3, Faults: faults,
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -152,7 +152,11 @@
 			{"name": engineService, "health_path": "/health", "max_conns": 150, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": slots, "kv_capacity": 90990, "chunk_tokens": chunkTokens}},
 			{"name": plainService, "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false},
 		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{
+			{"name": usualCustomer, "api_keys": []string{keyOf(usualCustomer)}},
+			{"name": floodCustomer, "api_keys": []string{keyOf(floodCustomer)}, "rate_per_s": floodRate, "burst": floodRate},
+		},
+		"limits": map[string]any{"max_header_bytes": maxHeadBytes, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	s.store.Put("keyed.op", "config", data)
 }
--- a/standin/soak/traffic.go
+++ b/standin/soak/traffic.go
@@ -18,6 +18,8 @@
 	lineTurns = 8
 	// streamTries is how often a caller takes a stream up again.
 	streamTries = 4
+	// floodCallers and slowReaders are the numbers of callers of one event.
+	floodCallers, slowReaders = 40, 16
 	// usualDeadline is the deadline of most requests.
 	usualDeadline = 3 * time.Second
 )
@@ -45,23 +47,51 @@
 			count++
 			number := count
 			callers.Go(func() {
-				random := rand.New(rand.NewPCG(seed, number))
 				c := &caller{site: s, conns: map[int]*callerConn{}}
-				defer c.close()
-				for round := 0; ; round++ {
-					select {
-					case <-stop:
-						return
-					case <-time.After(time.Duration(random.IntN(80)) * time.Millisecond):
-					}
-					kind.play(c, random, fmt.Sprintf("%d-%d", number, round))
-				}
+				c.repeat(rand.New(rand.NewPCG(seed, number)), fmt.Sprint(number), stop, kind.play)
 			})
 		}
 	}
 	callers.Wait()
 }
 
+// repeat plays a kind of caller in rounds until stop is closed.
+func (c *caller) repeat(random *rand.Rand, name string, stop <-chan struct{}, play func(c *caller, random *rand.Rand, name string)) {
+	defer c.close()
+	for round := 0; ; round++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(80)) * time.Millisecond):
+		}
+		play(c, random, fmt.Sprintf("%s-%d", name, round))
+	}
+}
+
+// playFor runs the callers of an event for its span.
+func (s *site) playFor(e event) {
+	stop := make(chan struct{})
+	time.AfterFunc(e.span, func() { close(stop) })
+	kinds := []func(c *caller, random *rand.Rand, name string){(*caller).pay, (*caller).look, (*caller).read, (*caller).lookLong}
+	count := slowReaders
+	if e.fault == FaultFlood {
+		kinds, count = kinds[:3], floodCallers
+	}
+	var callers sync.WaitGroup
+	for n := range count {
+		callers.Go(func() {
+			c := &caller{site: s, conns: map[int]*callerConn{}, customer: floodCustomer}
+			if e.fault == FaultSlowReader {
+				// A third of them read nothing in time.
+				c.customer, c.readPause = usualCustomer, []time.Duration{2 * time.Millisecond, 20 * time.Millisecond, usualDeadline}[n%3]
+			}
+			random := rand.New(rand.NewPCG(uint64(e.target)<<16+uint64(e.variant), uint64(n)))
+			c.repeat(random, fmt.Sprintf("%s-%d-%d-%d", e.fault, e.target, e.variant, n), stop, kinds[n%len(kinds)])
+		})
+	}
+	callers.Wait()
+}
+
 // front draws a front, mostly the one that the caller has an open connection to.
 func (c *caller) front(random *rand.Rand) int {
 	if len(c.conns) > 0 && random.IntN(4) > 0 {
@@ -86,6 +116,12 @@
 	c.checkPlain("look-up", c.send("look-up", c.front(random), r, attempt{maxRuns: 2}))
 }
 
+// lookLong sends a request whose answer is long.
+func (c *caller) lookLong(random *rand.Rand, _ string) {
+	r := request{method: http.MethodGet, path: longPath, deadline: usualDeadline}
+	c.checkPlain("long look-up", c.send("long look-up", c.front(random), r, attempt{maxRuns: 2}))
+}
+
 // checkPlain checks the answer of a plain endpoint.
 func (c *caller) checkPlain(kind string, a answer) {
 	if a.served() && !isPlainAnswer(a.body, a.id) {
