--- a/adapter/inifile/front_test.go
+++ b/adapter/inifile/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -97,3 +98,22 @@
 	require.False(t, s.Front().RefuseWhenFull)
 	require.False(t, s.Front().FairShares)
 }
+
+// TestDeployedSettingsAreValidForAnyContracts guards against fronts that don't start because the platform
+// lists no contracts, or some that are not known.
+func TestDeployedSettingsAreValidForAnyContracts(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/front.ini")
+	require.NoError(t, err)
+	optional := regexp.MustCompile(`(?s)\{\{#.*?\{\{/.*?\}\}`)
+	for contracts, refuse := range map[string]bool{"": false, "signed,unknown": false, "signed,pressure": true} {
+		values := strings.NewReplacer(
+			"{{node}}", "front-1", "{{zone}}", "a", "{{bounds.grace_s}}", "8", "{{limits.memory_mb}}", "256", "{{limits.cpu_share}}", "0.8",
+			"{{listen.front}}", "127.0.0.1:1", "{{listen.ready}}", "127.0.0.1:2", "{{ip}}:{{port_range.0}}", "127.0.0.1:3", "{{ip}}", "127.0.0.1",
+			"{{platform.address}}", "127.0.0.1:4", "{{platform.parts}}", "12", "{{platform.writes_per_s}}", "800", "{{contracts}}", contracts,
+		)
+		text := values.Replace(optional.ReplaceAllString(string(template), ""))
+		s, err := inifile.ReadSettings("front.ini", []byte(text))
+		require.NoError(t, err, text)
+		require.Equal(t, refuse, s.Front().RefuseWhenFull, contracts)
+	}
+}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -48,8 +48,12 @@
 	if beginning == nil {
 		return s.acquire(ctx, s.streamQuery(), s.queuePriority())
 	}
-	queueCtx, cancel := context.WithDeadline(ctx, beginning.GiveUpAt())
-	defer cancel()
+	queueCtx := ctx
+	if giveUpAt := beginning.GiveUpAt(); !giveUpAt.IsZero() {
+		var cancel context.CancelFunc
+		queueCtx, cancel = context.WithDeadline(ctx, giveUpAt)
+		defer cancel()
+	}
 	priority := s.queuePriority()
 	priority.Begins = true
 	err = s.acquireWithin(ctx, queueCtx, beginning.Restrict(s.streamQuery()), priority)
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -139,6 +139,43 @@
 	}
 }
 
+// TestProgramThatWaitsIsRefusedWithTheEngines guards against programs that wait on when the last engine has
+// gone, and against a wait that stays counted.
+func TestProgramThatWaitsIsRefusedWithTheEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := endpoint.NewDirectory()
+		directory.Put(endpoint.Registration{ID: "engine-1", Service: "engine", Address: "127.0.0.1:1", Slots: 4}, time.Now())
+		controller := overload.New(overload.Config{Directory: directory})
+		turns := &beginnings{}
+		g := gateway.New(gateway.Config{
+			Routes: streamRoutes(t, 400*time.Millisecond), Directory: directory, Queue: dispatch.New(directory), Transport: &slowTransport{}, Registrations: noRegistrations{}, TurnTracker: turns,
+			Origins: noOrigins{}, CrashTracker: noCrashes{}, Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), Overload: controller,
+		})
+		time.Sleep(time.Second)
+		directory.UpdatePeerLoads("front-2", []endpoint.Load{{Endpoint: endpoint.Key("engine-1"), Running: 4}}, time.Now())
+		directory.StoreAvailable(time.Now())
+		now := time.Now()
+		time.AfterFunc(20*time.Millisecond, func() {
+			directory.Put(endpoint.Registration{ID: "engine-1", Service: "engine", Address: "127.0.0.1:1", Slots: 4, State: endpoint.Draining}, time.Now())
+		})
+		response := &bodyRecorder{}
+		request := &gateway.Request{
+			ID: "r", Method: http.MethodPost, Host: "h", Path: "/ask/1", Target: "/ask/1", Header: http.Header{}, ReceivedAt: now, Deadline: now.Add(2 * time.Second),
+			Program: "p", ProgramDeadline: now.Add(4 * time.Second), BudgetTokens: 1000, MaxTokens: 10,
+		}
+		g.Serve(t.Context(), request, response)
+		require.Equal(t, http.StatusServiceUnavailable, response.status)
+		require.Less(t, time.Since(now), 50*time.Millisecond)
+		require.Len(t, turns.ends, 1)
+		directory.Put(endpoint.Registration{ID: "engine-1", Service: "engine", Address: "127.0.0.1:1", Slots: 4}, time.Now())
+		time.Sleep(time.Second)
+		b, err := controller.Begin(overload.Request{Service: "engine", Deadline: now.Add(time.Minute)}, time.Now())
+		require.NoError(t, err)
+		require.Zero(t, b.Inputs().Waiting)
+		b.Abandoned(time.Now())
+	})
+}
+
 // streamRoutes returns a route of streams with the given latency target.
 func streamRoutes(t *testing.T, latencyTarget time.Duration) *route.Store {
 	table, err := route.NewTable(route.TableConfig{
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -108,11 +108,11 @@
 type Beginning struct {
 	controller *Controller
 	request    Request
-	// askedAt is when the wait began, which ends at GiveUpAt.
-	askedAt  time.Time
-	giveUpAt time.Time
-	maxLoad  float64
-	inputs   Inputs
+	// askedAt is when the wait began, which ends at giveUpAt, or with the request if that is zero.
+	askedAt, giveUpAt time.Time
+	// maxLoad is the load from which on the turn gets no slot, 0 for none.
+	maxLoad float64
+	inputs  Inputs
 }
 
 // Inputs are what a decision was made from.
@@ -153,7 +153,7 @@
 	s.observeLoad(load, c.config.Load, now)
 	b := &Beginning{controller: c, request: r, askedAt: now, maxLoad: maxLoad, inputs: s.inputs(capacity)}
 	if !s.full {
-		b.maxLoad, b.giveUpAt = 0, r.Deadline
+		b.maxLoad = 0
 		s.waiting[rankIndex(r.Rank)]++
 		return b, nil
 	}
@@ -224,7 +224,7 @@
 	return max(0, min(wait, time.Duration(retryRatio*float64(b.request.Deadline.Sub(b.askedAt)))))
 }
 
-// GiveUpAt returns until when the turn may wait for a free slot.
+// GiveUpAt returns until when the turn may wait for a free slot, zero if it may until its deadline.
 func (b *Beginning) GiveUpAt() time.Time { return b.giveUpAt }
 
 // Restrict returns a query that finds an endpoint only while the load leaves room. Unless the limit of
