Send few requests to endpoints that answer with errors, and retry idempotent ones

Cause: an endpoint that answers each request at once with an error counted as served and as idle. Also the typical time of the route fell by these answers.

Change: the cost of an endpoint has its error rate, from decayed counts of this front and those that other fronts report with their loads (fields that were not in use); it falls by itself, so that the endpoint is tried again, and has no effect where all endpoints fail alike. An idempotent request that an endpoint answered with an error of its own is sent to another one while it may be. Shares count the turns of whole programs and no retries, and leave room by three tiers.

--- a/adapter/mesh/fuzz_test.go
+++ b/adapter/mesh/fuzz_test.go
@@ -76,12 +76,9 @@
 		{Name: "front-1", Sequence: math.MaxUint64, Incarnation: math.MaxUint64, Weight: -1, Crashes: []*meshpb.Crash{{Request: 1, Incarnation: 2, BeganAgoUs: math.MaxUint64}}, ClearedRequests: []uint64{1, 2}},
 		{Name: "self", Sequence: 1},
 		{Name: "front-1", Sequence: 1, Weight: 1, Limits: []*meshpb.EndpointLimit{{Endpoint: 7, Named: true, PerSecond: math.Inf(1), AgeMs: math.MaxUint32}}, MixedServices: []uint64{1, 1}},
-<<<<<<< HEAD
 		{Name: "front-1", Sequence: 1, Weight: 1, Shares: []*meshpb.CustomerUse{{Customer: math.MaxUint64, UseMs: math.MaxUint32, DemandMs: 7}, {}, {}}},
 		{Name: "front-1", Sequence: 1, Weight: 1, Shares: []*meshpb.CustomerUse{{Customer: 1, UseMs: maxReportedMS, DemandMs: maxReportedMS}}},
-=======
 		{Name: "front-1", Sequence: 1, Weight: 1, Speeds: []*meshpb.EndpointSpeed{{Endpoint: 7, Ratio: math.NaN(), Observations: math.MaxUint32, AgeMs: math.MaxUint32}, {Endpoint: 7, Ratio: 0.5, Observations: 1}}},
->>>>>>> speed
 	}
 	for _, g := range gossips {
 		data, err := proto.Marshal(g)
@@ -109,13 +106,10 @@
 		require.LessOrEqual(t, len(crashes), 256)
 		require.LessOrEqual(t, len(cleared), 256)
 		m.config.Directory.Loads()
-<<<<<<< HEAD
 		use, fairShare := m.config.Shares.(*share.Ledger).Level("c", 1, now)
 		require.False(t, math.IsNaN(use) || math.IsNaN(fairShare))
-=======
 		m.config.Directory.RefreshSpeeds(now)
 		m.config.Directory.Speeds(now)
->>>>>>> speed
 	})
 }
 
--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -34,6 +34,8 @@
 	// maxGossipLoads bounds the endpoints in a datagram, those with the highest loads; each
 	// takes up to 16 bytes. With 1,500 of them, a datagram that has all else too is 264 bytes too long.
 	maxGossipLoads = 1400
+	// maxReportedResponses bounds the responses of an endpoint that a front may report.
+	maxReportedResponses = 1 << 16
 	// maxGossipLimits bounds the rate limits in a datagram, each of which takes up to 30
 	// bytes; if there are more, each datagram has the next ones.
 	maxGossipLimits = 60
@@ -111,7 +113,7 @@
 		loads = loads[:maxGossipLoads]
 	}
 	for _, load := range loads {
-		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: load.Endpoint, Running: uint32(load.Running)})
+		g.Loads = append(g.Loads, &meshpb.EndpointLoad{Endpoint: load.Endpoint, Running: uint32(load.Running), Good: uint32(load.Good), Errors: uint32(load.Errors)})
 	}
 	g.MixedServices = m.config.Directory.MixedServices(now)
 	g.MixedServices = g.MixedServices[:min(len(g.MixedServices), maxGossipServices)]
@@ -212,7 +214,7 @@
 	}
 	loads := make([]endpoint.Load, 0, len(g.GetLoads()))
 	for _, load := range g.GetLoads() {
-		loads = append(loads, endpoint.Load{Endpoint: load.GetEndpoint(), Running: int(load.GetRunning())})
+		loads = append(loads, endpoint.Load{Endpoint: load.GetEndpoint(), Running: int(load.GetRunning()), Good: int(min(load.GetGood(), maxReportedResponses)), Errors: int(min(load.GetErrors(), maxReportedResponses))})
 	}
 	m.config.Directory.UpdatePeerLoads(g.GetName(), loads, now)
 	m.applyLimits(g, now)
--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -45,12 +45,8 @@
 					m.RecordCompletion(request)
 				}
 			}
-<<<<<<< HEAD
 			m.gossipSequence.Store(sharesEvery - 1)
 			g := m.newGossip(time.Now())
-=======
-			g := nextSpeeds(t, m, time.Now())
->>>>>>> speed
 			data, err := proto.Marshal(g)
 			require.NoError(t, err)
 			require.LessOrEqual(t, len(data), maxDatagramBytes)
@@ -58,11 +54,8 @@
 			require.NotEmpty(t, g.GetLimits())
 			require.NotEmpty(t, g.GetMixedServices())
 			require.NotEmpty(t, g.GetDepartures())
-<<<<<<< HEAD
 			require.Len(t, g.GetShares(), maxShares)
-=======
 			require.NotEmpty(t, g.GetSpeeds())
->>>>>>> speed
 		})
 	}
 }
--- a/daemon/front_site_test.go
+++ b/daemon/front_site_test.go
@@ -141,11 +141,7 @@
 	s.frontCount++
 	c := daemon.FrontConfig{
 		Name: fmt.Sprintf("front-%d", s.frontCount), Domain: "a", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-<<<<<<< HEAD
-		StoreAddress: s.storeAddress, Shards: 4, Processors: 1, GracePeriod: 4 * time.Second, RefuseWhenFull: s.refuseWhenFull, Logger: s.logger,
-=======
-		StoreAddress: s.storeAddress, Shards: siteShards, Processors: 1, GracePeriod: 4 * time.Second, Logger: s.logger,
->>>>>>> soak
+		StoreAddress: s.storeAddress, Shards: siteShards, Processors: 1, GracePeriod: 4 * time.Second, RefuseWhenFull: s.refuseWhenFull, Logger: s.logger,
 	}
 	f, err := daemon.NewFront(c)
 	require.NoError(s.t, err)
--- a/endpoint/cost.go
+++ b/endpoint/cost.go
@@ -54,6 +54,7 @@
 	}
 	// The slowdown is relative to the usual time at the endpoint itself.
 	penalty += e.slowdown.excessIfSlow(now)*e.speed.ratio() + jitterShare*rand.Float64()
+	penalty += errorCost * e.errorRate(now)
 	cost := (penalty + in.speedWeight*e.speed.extra) * typicalMS
 	if !q.IgnoreDomain && e.registration.Domain == q.LocalDomain {
 		cost -= milliseconds(localDomainSaving)
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -105,7 +105,8 @@
 	}
 	d.applyDeparture(added)
 	d.expirePeerLoads(now)
-	added.peerRunning = d.peers.running[added.key]
+	sum := d.peers.sums[added.key]
+	added.peerRunning, added.peerGood, added.peerErrors = sum.Running, sum.Good, sum.Errors
 	d.byID[r.ID], d.byKey[added.key] = added, added
 	d.versions.add(r)
 	d.byService[r.Service] = append(d.byService[r.Service], added)
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -63,9 +63,12 @@
 	coldUntil time.Time
 	health    health
 	slowdown  slowdown
-	speed     endpointSpeed
-	limit     limitState
-	idle      idleConnections
+	responses responseCounts
+	// peerGood and peerErrors are the responses to other instances, from their load reports.
+	peerGood, peerErrors int
+	speed                endpointSpeed
+	limit                limitState
+	idle                 idleConnections
 }
 
 // Target is the endpoint picked for one request. Its zero value is no endpoint.
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -12,16 +12,21 @@
 	Endpoint uint64
 	// Running is the number of requests.
 	Running int
+	// Good and Errors are decayed counts of responses, zero without a recent error.
+	Good, Errors int
 }
 
-// Loads returns the load of this instance at all endpoints where it has requests running.
+// Loads returns the load of this instance at all endpoints where it has requests running, or which
+// answered it with errors lately.
 func (d *Directory) Loads() []Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []Load
+	now := time.Now()
 	for _, e := range d.byID {
-		if e.localRunning > 0 {
-			out = append(out, Load{Endpoint: e.key, Running: e.localRunning})
+		good, errors := e.responses.reported(now)
+		if e.localRunning > 0 || errors > 0 {
+			out = append(out, Load{Endpoint: e.key, Running: e.localRunning, Good: good, Errors: errors})
 		}
 	}
 	return out
@@ -31,8 +36,8 @@
 type peerLoads struct {
 	// reports is the latest report of each other instance, by its name.
 	reports map[string]loadReport
-	// running is the number of requests in all reports, by the Key of the endpoint.
-	running map[uint64]int
+	// sums holds the sums of all reports, by the Key of the endpoint.
+	sums map[uint64]Load
 	// oldestAt is not after the time at which the oldest report was received, and zero without any.
 	oldestAt time.Time
 }
@@ -44,7 +49,7 @@
 }
 
 func newPeerLoads() peerLoads {
-	return peerLoads{reports: map[string]loadReport{}, running: map[uint64]int{}}
+	return peerLoads{reports: map[string]loadReport{}, sums: map[uint64]Load{}}
 }
 
 // replace replaces the report of an instance.
@@ -60,9 +65,15 @@
 // add adds loads to the sums, or takes them out with a sign of -1.
 func (p *peerLoads) add(loads []Load, sign int) {
 	for _, l := range loads {
-		if p.running[l.Endpoint] += sign * l.Running; p.running[l.Endpoint] == 0 {
-			delete(p.running, l.Endpoint)
+		sum := p.sums[l.Endpoint]
+		sum.Running += sign * l.Running
+		sum.Good += sign * l.Good
+		sum.Errors += sign * l.Errors
+		if sum == (Load{}) {
+			delete(p.sums, l.Endpoint)
+			continue
 		}
+		p.sums[l.Endpoint] = sum
 	}
 }
 
@@ -107,7 +118,9 @@
 func (d *Directory) applyPeerLoads(changed []Load, now time.Time) {
 	for _, l := range changed {
 		if e, ok := d.byKey[l.Endpoint]; ok {
-			d.setRunning(e, e.localRunning, d.peers.running[l.Endpoint], now)
+			sum := d.peers.sums[l.Endpoint]
+			d.setRunning(e, e.localRunning, sum.Running, now)
+			e.peerGood, e.peerErrors = sum.Good, sum.Errors
 		}
 	}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -27,19 +27,33 @@
 // repeated.
 func (c *call) servePlain(ctx context.Context, w Responder) {
 	var lastErr error
+	// failed is the latest attempt that an endpoint answered with an error of its own.
+	var failed *attemptResult
 	for {
 		if err := c.acquire(ctx, c.plainQuery(), c.queuePriority()); err != nil {
+			if failed != nil {
+				c.answer(ctx, w, *failed)
+				return
+			}
 			c.refuseFailed(ctx, w, err, lastErr)
 			return
 		}
 		result := c.sendHedged(ctx)
 		c.target = result.target
 		if result.succeeded() {
-			now := time.Now()
-			c.Directory.RecordRequestTime(result.target, now)
-			c.Directory.RecordSuccess(result.target, now)
-			c.respond(ctx, w, result.response)
-			result.end()
+			c.recordAnswer(result)
+			if !isServerError(result.response.status) || result.response.rest != nil || !c.canRetry() || !c.repeatWithinQuota(ctx) {
+				c.answer(ctx, w, result)
+				return
+			}
+			c.possiblyRan = true
+			c.excludeTarget()
+			failed = &result
+			continue
+		}
+		if failed != nil {
+			c.recordFailedAttempt(ctx, result)
+			c.answer(ctx, w, *failed)
 			return
 		}
 		if result.mayHaveRun() {
@@ -53,6 +67,32 @@
 	}
 }
 
+// answer passes the response of an attempt on to the caller.
+func (c *call) answer(ctx context.Context, w Responder, result attemptResult) {
+	c.target = result.target
+	c.respond(ctx, w, result.response)
+	result.end()
+}
+
+// recordAnswer reports to the directory how an endpoint answered.
+func (c *call) recordAnswer(result attemptResult) {
+	now := time.Now()
+	isError := isServerError(result.response.status)
+	c.Directory.RecordResponse(result.target, isError, now)
+	if isError {
+		c.Metrics.failures.WithLabelValues("error-response").Inc()
+		return
+	}
+	c.Directory.RecordRequestTime(result.target, now)
+	c.Directory.RecordSuccess(result.target, now)
+}
+
+// isServerError reports whether a response says that its endpoint failed. One that gives up at the deadline
+// (504) may only have had too little time.
+func isServerError(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout
+}
+
 // recordFailedAttempt counts an attempt without a usable response and excludes its endpoint
 // from further attempts. A failure after the end of ctx is not held against the endpoint.
 func (c *call) recordFailedAttempt(ctx context.Context, result attemptResult) {
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -32,6 +32,8 @@
 
 func (*useRecorder) Over(string, float64, time.Time) bool { return true }
 
+func (*useRecorder) Under(string, float64, time.Time) bool { return false }
+
 // attemptsTransport ends each attempt after typicalTime in the next of some ways.
 type attemptsTransport struct {
 	scriptTransport
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,9 @@
 		s.Directory.Release(s.target)
 		switch {
 		case err == nil:
-			s.Directory.RecordSuccess(s.target, time.Now())
+			now := time.Now()
+			s.Directory.RecordResponse(s.target, false, now)
+			s.Directory.RecordSuccess(s.target, now)
 			s.CrashTracker.RecordCompletion(s.identity)
 			return true
 		case errors.Is(err, errNotRun), errors.Is(err, errUnconfirmed):
@@ -185,6 +187,7 @@
 		return err
 	}
 	s.possiblyRan = true
+	s.Directory.RecordResponse(s.target, isServerError(response.Status()), time.Now())
 	if s.headSent {
 		return Errorf("resume stream", KindBroken, "expected an event stream, but the endpoint responded with status %d", response.Status())
 	}
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -14,6 +14,9 @@
 	DefaultLoad = 0.9
 	// shareLoad is the load up to which programs of customers below their share begin.
 	shareLoad = 1
+	// overShareRatio is the part of the limit of the load up to which programs of customers over their
+	// share begin: their programs go last, and have what nobody else takes.
+	overShareRatio = 0.94
 	// startSpan is how long after its start a front knows too little of the load of others, which they
 	// report each 100 ms.
 	startSpan = 200 * time.Millisecond
@@ -58,8 +61,10 @@
 type Shares interface {
 	// Ask notes that a customer asks for engine time.
 	Ask(customer string, cost time.Duration, now time.Time)
-	// Over reports whether a customer is over its fair share of a capacity in slots.
+	// Over reports whether a customer is over its fair share of a capacity in slots, Under whether it is
+	// clearly below it while others compete. Both may be false.
 	Over(customer string, capacity float64, now time.Time) bool
+	Under(customer string, capacity float64, now time.Time) bool
 }
 
 // Config holds the settings and dependencies of a Controller.
@@ -112,7 +117,7 @@
 // stale reports whether the program has waited for so long that those that come now are more likely to
 // be in time.
 func (r Request) stale(now time.Time) bool {
-	return r.Waited > time.Duration(staleRatio*float64(r.Waited+r.ProgramDeadline.Sub(now)))
+	return r.Waited > 0 && r.Waited > time.Duration(staleRatio*float64(r.Waited+r.ProgramDeadline.Sub(now)))
 }
 
 // Beginning is a turn that begins its program and may wait for a free slot. Exactly one of Admitted,
@@ -141,24 +146,13 @@
 // Begin decides on a turn that begins its program. An error, of type *Error, refuses it. A Beginning of
 // nil says that the turn is to be served like any other.
 func (c *Controller) Begin(r Request, now time.Time) (*Beginning, error) {
-	if c.config.Shares != nil && r.Customer != "" {
-		cost, ok := c.config.Directory.TypicalTime(r.Kind)
-		if !ok {
-			cost = defaultCost
-		}
-		c.config.Shares.Ask(r.Customer, cost, now)
-	}
 	capacity := c.config.Directory.Capacity(r.Service, now)
 	if capacity.Slots == 0 || now.Sub(c.startedAt) < startSpan {
 		return nil, nil
 	}
 	load := capacity.Load()
-	maxLoad, over := c.config.Load, false
-	if c.config.Shares != nil && r.Customer != "" && load >= maxLoad {
-		if over = c.config.Shares.Over(r.Customer, float64(capacity.Slots), now); !over {
-			maxLoad = max(maxLoad, shareLoad)
-		}
-	}
+	c.ask(r, now)
+	maxLoad, over := c.maxLoad(r, capacity, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.service(r.Service, now)
@@ -174,7 +168,7 @@
 	switch {
 	case r.stale(now):
 		return b, b.refuse(s, KindFull, now, "its program has waited "+r.Waited.Round(time.Millisecond).String())
-	case over:
+	case over && load >= maxLoad:
 		return b, b.refuse(s, KindShare, now, "its customer is over its fair share")
 	case load >= maxLoad && s.total.expired > 0 && s.expectedWait(s.ahead(r.Rank)+1) > maxWait:
 		// While none has waited in vain, the rate of admissions is that of demand and not of capacity.
@@ -184,12 +178,47 @@
 	return b, nil
 }
 
+// ask notes the engine time that a program asks for: that of a turn for each of the turns that programs
+// have on average. A retry asks for what its program has asked for before.
+func (c *Controller) ask(r Request, now time.Time) {
+	if c.config.Shares == nil || r.Customer == "" || r.Waited > 0 {
+		return
+	}
+	cost, ok := c.config.Directory.TypicalTime(r.Kind)
+	if !ok {
+		cost = defaultCost
+	}
+	c.mu.Lock()
+	turns := c.service(r.Service, now).turnsPerProgram()
+	c.mu.Unlock()
+	c.config.Shares.Ask(r.Customer, time.Duration(turns*float64(cost)), now)
+}
+
+// maxLoad returns the load up to which a turn may begin its program, and whether its customer is over its
+// fair share.
+func (c *Controller) maxLoad(r Request, capacity endpoint.Capacity, now time.Time) (maxLoad float64, over bool) {
+	maxLoad = c.config.Load
+	if c.config.Shares == nil || r.Customer == "" {
+		return maxLoad, false
+	}
+	slots := float64(capacity.Slots)
+	switch {
+	case c.config.Shares.Over(r.Customer, slots, now):
+		return overShareRatio * maxLoad, true
+	case c.config.Shares.Under(r.Customer, slots, now):
+		return max(maxLoad, shareLoad), false
+	}
+	return maxLoad, false
+}
+
 // Observe notes the load of a service at a turn that is not subject to admission control.
 func (c *Controller) Observe(name string, now time.Time) {
 	capacity := c.config.Directory.Capacity(name, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.service(name, now).observeLoad(capacity.Load(), c.config.Load, now)
+	s := c.service(name, now)
+	s.observeLoad(capacity.Load(), c.config.Load, now)
+	s.countTurn(false)
 }
 
 // service returns what is known of a service, as of now; c.mu must be held.
@@ -263,6 +292,9 @@
 // Admitted notes that the turn got a slot, and reports whether it had to wait for it.
 func (b *Beginning) Admitted(now time.Time) (waited bool) {
 	b.leave(now, counts{admitted: 1})
+	b.controller.mu.Lock()
+	b.controller.service(b.request.Service, now).countTurn(true)
+	b.controller.mu.Unlock()
 	return now.Sub(b.askedAt) >= waitedFrom
 }
 
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -161,9 +161,10 @@
 	b.Abandoned(now)
 }
 
-// recordedShares is an overload.Shares with customers over their share.
+// recordedShares is an overload.Shares with customers over and under their share.
 type recordedShares struct {
 	over  map[string]bool
+	under map[string]bool
 	asked []string
 }
 
@@ -173,6 +174,10 @@
 
 func (r *recordedShares) Over(customer string, _ float64, _ time.Time) bool { return r.over[customer] }
 
+func (r *recordedShares) Under(customer string, _ float64, _ time.Time) bool {
+	return r.under[customer]
+}
+
 // TestCustomersOverTheirShareAreRefusedFirst guards against customers that push out others while engines
 // are full, and against customers that are refused for their share while they are not.
 func TestCustomersOverTheirShareAreRefusedFirst(t *testing.T) {
@@ -186,13 +191,15 @@
 	}{
 		{name: "over, engines not full", customer: "large", mean: 80, running: 95},
 		{name: "over, load above the limit", customer: "large", mean: 120, running: 95, refused: true},
-		{name: "over, load below the limit", customer: "large", mean: 120, running: 85, maxLoad: 0.9},
+		{name: "over, load below the limit but not by much", customer: "large", mean: 120, running: 87, refused: true},
+		{name: "over, load well below the limit", customer: "large", mean: 120, running: 80, maxLoad: 0.846},
+		{name: "near its share", customer: "middle", mean: 120, running: 85, maxLoad: 0.9},
 		{name: "under", customer: "small", mean: 120, running: 95, maxLoad: 1},
 		{name: "no customer", mean: 120, running: 95, maxLoad: 0.9},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			shares := &recordedShares{over: map[string]bool{"large": true, "": true}}
+			shares := &recordedShares{over: map[string]bool{"large": true, "": true}, under: map[string]bool{"small": true}}
 			c, d, now := started(0.9, shares)
 			d.setRunning(test.mean)
 			c.Observe("s", now)
@@ -210,7 +217,7 @@
 				require.Equal(t, overload.KindShare, overload.KindOf(err))
 				return
 			}
-			require.Equal(t, test.maxLoad, b.Restrict(endpoint.Query{}).MaxLoad)
+			require.InDelta(t, test.maxLoad, b.Restrict(endpoint.Query{}).MaxLoad, 1e-9)
 			b.Abandoned(now)
 		})
 	}
@@ -283,3 +290,28 @@
 		})
 	}
 }
+
+// TestDemandIsThatOfWholePrograms guards against demand that counts one turn of a program, or a program
+// again for each of its retries, which makes customers seem smaller or larger than they are.
+func TestDemandIsThatOfWholePrograms(t *testing.T) {
+	shares := &recordedShares{}
+	c, d, now := started(0.9, shares)
+	d.setRunning(50)
+	for range 10 {
+		b, err := c.Begin(newRequest(now), now)
+		require.NoError(t, err)
+		b.Admitted(now)
+		for range 3 {
+			c.Observe("s", now)
+		}
+	}
+	r := newRequest(now)
+	r.Customer = "customer"
+	for _, waited := range []time.Duration{0, 100 * time.Millisecond} {
+		r.Waited = waited
+		b, err := c.Begin(r, now)
+		require.NoError(t, err)
+		b.Abandoned(now)
+	}
+	require.Equal(t, []string{"customer 920ms"}, shares.asked, "four turns of 230 ms")
+}
--- a/overload/window.go
+++ b/overload/window.go
@@ -17,6 +17,9 @@
 	// loadSpan is the time constant of the mean load. A turn takes 230 ms, so that a rise of the load by
 	// chance lasts about as long.
 	loadSpan = 300 * time.Millisecond
+	// maxTurns is the number of turns from which on the counts of turns and programs are halved: about
+	// ten seconds of a busy front.
+	maxTurns = 200
 	// fullRatio is the part of the limit below which the mean load shows that there is no excess of
 	// demand any more: while there is one, programs that wait bring the load to its limit.
 	fullRatio = 0.95
@@ -44,6 +47,8 @@
 	loadAt time.Time
 	// full is set while programs that begin are held back.
 	full bool
+	// turns and programs are decayed counts of turns and of the programs that they begin.
+	turns, programs float64
 	// lastAskedAt is when the latest turn came.
 	lastAskedAt time.Time
 }
@@ -103,6 +108,20 @@
 	}
 }
 
+// countTurn counts a turn, which may begin its program.
+func (s *service) countTurn(begins bool) {
+	s.turns++
+	if begins {
+		s.programs++
+	}
+	if s.turns > maxTurns {
+		s.turns, s.programs = s.turns/2, s.programs/2
+	}
+}
+
+// turnsPerProgram returns the mean number of turns of a program so far, at least 1.
+func (s *service) turnsPerProgram() float64 { return max(1, s.turns/max(1, s.programs)) }
+
 // expectedWait returns how long a number of beginnings take at the rate at which they were admitted in
 // the span. At least one is taken for admitted, so that the result is finite.
 func (s *service) expectedWait(beginnings int) time.Duration {
