--- a/endpoint/speed.go
+++ b/endpoint/speed.go
@@ -13,7 +13,7 @@
 	speedRefreshInterval = 500 * time.Millisecond
 	// minSpeedObservations is the number of observations from which on the speed of an endpoint counts.
 	minSpeedObservations = 8
-	// minSpeedSpan is how long an endpoint must have been observed: fewer moments of slowness than that
+	// minSpeedSpan is how long a plain endpoint must have been observed: fewer moments of slowness than that
 	// (0.6 s each, 15% of them slow) can all be slow by chance.
 	minSpeedSpan = 2500 * time.Millisecond
 	// minSpeedRatio is the ratio of the slowest to the fastest endpoint of a service from which on speeds
@@ -55,9 +55,12 @@
 	own       speed.Estimate
 	deviation float64
 	// known is set if there are enough observations, of all instances together; merged is then the
-	// logarithm of the ratio of the endpoint's time to the median.
+	// logarithm of the ratio of the endpoint's time to the median, of which most observations say that it
+	// is that far from it at least.
 	known  bool
 	merged float64
+	// center is the median of the observations of all instances, without observations 0.
+	center float64
 	// observations counts those of all instances, and age is that of the latest.
 	observations int
 	age          time.Duration
@@ -169,7 +172,11 @@
 			delete(d.speeds, service)
 			continue
 		}
-		d.estimate(endpoints, now)
+		spanNeeded := minSpeedSpan
+		if s.load.Observations() > 0 {
+			spanNeeded = 0
+		}
+		d.estimate(endpoints, spanNeeded, now)
 		s.update(d.spread(endpoints, now), now)
 		for _, e := range endpoints {
 			if e.speed.use(s.inUse) {
@@ -180,52 +187,48 @@
 	return changes
 }
 
-// estimate computes the speeds of the endpoints of one service; d.mu must be held.
-func (d *Directory) estimate(endpoints []*Endpoint, now time.Time) {
+// estimate computes the speeds of the endpoints of one service, which count once an endpoint has been
+// observed for spanNeeded; d.mu must be held.
+func (d *Directory) estimate(endpoints []*Endpoint, spanNeeded time.Duration, now time.Time) {
 	base, ok := d.base(endpoints, now)
-	merged := d.scratch[:0]
+	centers := d.scratch[:0]
 	for _, e := range endpoints {
 		s := &e.speed
 		s.deviation = 0
 		if ok && s.own.Observations > 0 {
 			s.deviation = bounded(s.own.Deviation(base))
 		}
-		s.merge(now)
-		if s.known {
-			merged = append(merged, speed.Weighted{Value: s.merged, Weight: 1})
+		s.merge(spanNeeded, now)
+		if s.observations > 0 {
+			centers = append(centers, speed.Weighted{Value: s.center, Weight: 1})
 		}
 	}
 	// Reports are relative to the median of those endpoints that their front has observed.
-	median := speed.Median(merged)
+	median := speed.Median(centers)
 	for _, e := range endpoints {
-		e.speed.merged = bounded(e.speed.merged - median)
+		if e.speed.observations > 0 {
+			e.speed.center = bounded(e.speed.center - median)
+			e.speed.merged = bounded(e.speed.merged - median)
+		}
 	}
-	d.scratch = merged
+	d.scratch = centers
 }
 
 // base brings the estimates of this instance up to date and returns the logarithm of the time at a
-// median endpoint, false without any observations. The speeds that are known from all
-// instances count, so that an instance that has met a few fast endpoints only does not take them for
-// median ones.
+// median endpoint, false without any observations. The observations of all instances count, so that an
+// instance that has met a few fast endpoints only does not take them for median ones; d.mu must be
+// held.
 func (d *Directory) base(endpoints []*Endpoint, now time.Time) (float64, bool) {
-	values, relative := d.scratch[:0], false
+	values := d.scratch[:0]
 	for _, e := range endpoints {
 		s := &e.speed
 		if s.window == nil {
 			continue
 		}
 		s.own = s.window.Estimate(now)
-		if s.own.Observations == 0 || (relative && !s.known) {
-			continue
-		}
-		if s.known && !relative {
-			values, relative = values[:0], true
-		}
-		value := s.own.Mid
-		if s.known {
-			value -= s.merged
+		if s.own.Observations > 0 {
+			values = append(values, speed.Weighted{Value: s.own.Mid - s.center, Weight: 1})
 		}
-		values = append(values, speed.Weighted{Value: value, Weight: 1})
 	}
 	d.scratch = values
 	return speed.Median(values), len(values) > 0
--- a/endpoint/speed_report.go
+++ b/endpoint/speed_report.go
@@ -123,7 +123,7 @@
 
 // merge computes the estimate from the observations of this instance and the reports of others: what
 // most of them agree on by weight, which a few wrong reports don't change.
-func (s *endpointSpeed) merge(now time.Time) {
+func (s *endpointSpeed) merge(spanNeeded time.Duration, now time.Time) {
 	var buffer [maxSpeedReports + 1]speed.Weighted
 	values := buffer[:0]
 	s.observations, s.age = s.own.Observations, speed.MaxAge
@@ -144,9 +144,6 @@
 	if len(values) == 0 {
 		s.knownSince = time.Time{}
 	}
-	s.known = s.observations >= minSpeedObservations && now.Sub(s.knownSince) >= minSpeedSpan
-	s.merged = 0
-	if s.known {
-		s.merged = speed.Agreed(values)
-	}
+	s.known = s.observations >= minSpeedObservations && now.Sub(s.knownSince) >= spanNeeded
+	s.merged, s.center = speed.Agreed(values), speed.Median(values)
 }
