--- a/daemon/front_leaving_test.go
+++ b/daemon/front_leaving_test.go
@@ -48,6 +48,10 @@
 				require.Less(t, i, maxRequestsToReach, "the endpoint is used")
 				_, _, _, _ = f.send(t, test.method, test.path, fmt.Sprint("before-", i), "x")
 			}
+			// The first answer that the front passes on tells it.
+			id := map[string]string{"/survey/1": "engine-1", "/look/1": "shop-1", "/pay/1": "shop-1"}[test.path]
+			answered := logs.FilterMessage("request").FilterField(zap.String("outcome", "answered")).FilterField(zap.String("endpoint", id))
+			require.LessOrEqual(t, answered.Len(), 1)
 			leaving.SetBehavior(worker.Healthy)
 			for i := range 30 {
 				status, _, body, err := f.send(t, test.method, test.path, fmt.Sprint("after-", i), "x")
