--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lavendervale/lavendervale/dispatch"
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/overload"
@@ -76,17 +78,28 @@
 
 // recordAnswer reports to the directory how an endpoint answered.
 func (c *call) recordAnswer(result attemptResult) {
-	now := time.Now()
-	isError := isServerError(result.response.status)
-	c.Directory.RecordResponse(result.target, isError, now)
-	if isError {
-		c.Metrics.failures.WithLabelValues("error-response").Inc()
+	if c.recordResponse(result.target, result.response.status) {
 		return
 	}
+	now := time.Now()
 	c.Directory.RecordRequestTime(result.target, now)
 	c.Directory.RecordSuccess(result.target, now)
 }
 
+// recordResponse counts a response towards the error rate of its endpoint, and reports whether it is an
+// error of the endpoint.
+func (c *call) recordResponse(t endpoint.Target, status int) bool {
+	now := time.Now()
+	isError := isServerError(status)
+	c.Directory.RecordResponse(t, isError, now)
+	if isError {
+		c.Metrics.failures.WithLabelValues("error-response").Inc()
+		c.Logger.Warn("endpoint answered with an error", zap.String("request", c.request.ID), zap.String("endpoint", t.ID()), zap.Int("status", status),
+			zap.Float64("error_rate", c.Directory.ErrorRate(t, now)))
+	}
+	return isError
+}
+
 // isServerError reports whether a response says that its endpoint failed. One that gives up at the deadline
 // (504) may only have had too little time.
 func isServerError(status int) bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -187,7 +187,7 @@
 		return err
 	}
 	s.possiblyRan = true
-	s.Directory.RecordResponse(s.target, isServerError(response.Status()), time.Now())
+	s.recordResponse(s.target, response.Status())
 	if s.headSent {
 		return Errorf("resume stream", KindBroken, "expected an event stream, but the endpoint responded with status %d", response.Status())
 	}
