--- a/adapter/mesh/gossip.go
+++ b/adapter/mesh/gossip.go
@@ -32,7 +32,7 @@
 	// shards to fronts that reach it. Until then it relays its store calls through them.
 	storeLostAfter = 1500 * time.Millisecond
 	// maxGossipLoads bounds the endpoints in a datagram, those with the highest loads; each
-	// takes up to 16 bytes. With 1,500 of them, a datagram that has all else too is 264 bytes too long.
+	// takes up to 16 bytes, and 8 more with recent errors.
 	maxGossipLoads = 1400
 	// maxReportedResponses bounds the responses of an endpoint that a front may report.
 	maxReportedResponses = 1 << 16
@@ -41,9 +41,8 @@
 	maxGossipLimits = 60
 	// maxGossipServices bounds the services with several versions in a datagram.
 	maxGossipServices = 100
-	// maxDatagramBytes is the size of the receive buffer; the rest of a longer datagram
-	// is lost.
-	maxDatagramBytes = 32 << 10
+	// maxDatagramBytes is the size of the receive buffer, the greatest size of a UDP datagram over IPv4.
+	maxDatagramBytes = 65_507
 )
 
 // runGossip sends gossip every gossipInterval until ctx ends, then once more to
--- a/adapter/mesh/gossip_test.go
+++ b/adapter/mesh/gossip_test.go
@@ -38,6 +38,7 @@
 				require.Equal(t, endpoint.Picked, result)
 				m.config.Directory.RecordLimit(target, endpoint.Limit{Named: true, PerSecond: 1.0 / 3}, time.Now())
 				m.config.Directory.RecordTokenTime(target, time.Millisecond, time.Now())
+				m.config.Directory.RecordResponse(target, true, time.Now())
 				m.config.Directory.RecordLeaving(target, time.Now())
 				request := quarantine.NewIdentity([][]byte{[]byte(service)}, "program")
 				m.RecordCrash(request, uint64(i), time.Now(), time.Now())
