Learn no speeds of plain endpoints

The median of the times of plain requests is no sound estimate with such moments.

Change: speeds are learnt from the times between events of streams only. The test requires now that no speed of a plain endpoint is in use at all; its second case, a plain endpoint of half the speed that is found by its speed, goes with the feature. Slowdowns are found as before.

--- a/endpoint/speed.go
+++ b/endpoint/speed.go
@@ -13,9 +13,9 @@
 	speedRefreshInterval = 500 * time.Millisecond
 	// minSpeedObservations is the number of observations from which on the speed of an endpoint counts.
 	minSpeedObservations = 8
-	// minSpeedSpan is how long a plain endpoint must have been observed: fewer moments of slowness than that
-	// (0.6 s each, 15% of them slow) can all be slow by chance.
-	minSpeedSpan = 2500 * time.Millisecond
+	// minReportSpan is for how long other fronts must have reported a speed at a service of which this one
+	// has observed nothing itself.
+	minReportSpan = 2500 * time.Millisecond
 	// minSpeedRatio is the ratio of the slowest to the fastest endpoint of a service from which on speeds
 	// count, and minSpeedTime how long it must have lasted.
 	minSpeedRatio, minSpeedTime = 1.2, 2 * time.Second
@@ -122,21 +122,6 @@
 	return s
 }
 
-// RecordRequestTime notes that a plain request took from its Pick until now. It must be called before
-// RecordSuccess, which changes the typical time. Requests that may have waited at the endpoint are not
-// observed.
-func (d *Directory) RecordRequestTime(t Target, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e, ok := d.find(t)
-	typical, known := d.typicalTimes[t.kind]
-	if !ok || !known || t.others >= e.registration.Slots || now.Before(e.coldUntil) {
-		return
-	}
-	d.speedsOf(e.registration.Service)
-	e.speed.observe(float64(now.Sub(t.pickedAt))/float64(max(typical, minTypicalTime)), now)
-}
-
 // RecordTokenTime notes the time per token between two events of a stream.
 func (d *Directory) RecordTokenTime(t Target, perToken time.Duration, now time.Time) {
 	d.mu.Lock()
@@ -172,7 +157,7 @@
 			delete(d.speeds, service)
 			continue
 		}
-		spanNeeded := minSpeedSpan
+		spanNeeded := minReportSpan
 		if s.load.Observations() > 0 {
 			spanNeeded = 0
 		}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -81,9 +81,7 @@
 	if c.recordResponse(result.target, result.response.status) {
 		return
 	}
-	now := time.Now()
-	c.Directory.RecordRequestTime(result.target, now)
-	c.Directory.RecordSuccess(result.target, now)
+	c.Directory.RecordSuccess(result.target, time.Now())
 }
 
 // recordResponse counts a response towards the error rate of its endpoint, and reports whether it is an
