--- a/endpoint/speed_report.go
+++ b/endpoint/speed_report.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		out = append(out, SpeedReport{
-			Endpoint: e.key, StartedUnixMS: e.registration.StartedUnixMS, Ratio: math.Exp(s.deviation), Observations: s.own.Observations, Age: age,
+			Endpoint: e.key, StartedUnixMS: e.registration.StartedUnixMS, Ratio: min(maxSpeedRatio, max(1/maxSpeedRatio, math.Exp(s.deviation))), Observations: s.own.Observations, Age: age,
 		})
 	}
 	return out
--- a/endpoint/speed_report_test.go
+++ b/endpoint/speed_report_test.go
@@ -134,3 +134,21 @@
 		})
 	}
 }
+
+// TestOwnReportsAreValid guards against a ratio at its bound that other fronts refuse because of rounding.
+func TestOwnReportsAreValid(t *testing.T) {
+	for _, ratio := range []float64{1e-3, 0.1, 1, 10, 1e3} {
+		f := newSpeedsFixture(3)
+		f.observe(t, 10*time.Second, func(i int) time.Duration {
+			if i == 0 {
+				return time.Duration(ratio * float64(2*time.Millisecond))
+			}
+			return 2 * time.Millisecond
+		})
+		reports := f.Speeds(f.now)
+		require.Len(t, reports, 3)
+		for _, r := range reports {
+			require.True(t, r.Valid(), "%v", r)
+		}
+	}
+}
