--- a/gateway/event_time_test.go
+++ b/gateway/event_time_test.go
@@ -149,7 +149,10 @@
 				transport := &timedTransport{arrivals: test.arrivals}
 				config := route.Config{Name: "ask", Host: "h", PathPrefix: "/ask/", Streaming: true, RetryPolicy: route.Resumable, MaxAttempts: 3, Splits: []route.Split{{Service: "engine", Weight: 1}}}
 				g, _ := newStreamGateway(t, transport, noTurns{}, config)
-				for range 30 {
+				for n := range 30 {
+					// A full engine gets no request, so that both get half of them.
+					full := []string{"engine-1", "engine-2"}[n%2]
+					g.Directory.UpdatePeerLoads("front-2", []endpoint.Load{{Endpoint: endpoint.Key(full), Running: 1 << 20}}, time.Now())
 					g.Serve(t.Context(), &gateway.Request{
 						ID: "r", Method: http.MethodPost, Host: "h", Path: "/ask/1", Target: "/ask/1", Header: http.Header{}, ReceivedAt: time.Now(), MaxTokens: 400,
 					}, &blockingCaller{delay: func() time.Duration {
