Show that long turns fill the store for everybody

Cause: nothing bounds what callers may have stored, and records are trimmed by age only. Change: review/7, and the count of served turns in the stand-ins.

--- a/review/kit-2/cases.go
+++ b/review/kit-2/cases.go
@@ -139,21 +139,32 @@
 	}
 	from := time.Now()
 	time.AfterFunc(calm, cancel)
-	complete, late, cutOff := 0, 0, 0
+	paid, payments := 0, 0
+	for ctx.Err() == nil {
+		r := s.send(s.pick(), request{method: http.MethodPost, path: payPrefix + "2f", body: []byte("pay the harvester"), deadline: 3 * time.Second})
+		if payments++; r.status == http.StatusOK {
+			paid++
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	programs, complete, asked, served := 0, 0, 0, 0
 	for _, o := range finish() {
 		if o.begunAt.After(from) {
-			late, cutOff = late+1, cutOff+o.cutOff
+			programs, asked, served = programs+1, asked+o.asked, served+o.served
 			if o.complete {
 				complete++
 			}
 		}
 	}
-	s.record.printf("%d of the %d ordinary programs that began after the long turns are complete; %d of their requests from kept connections ended without a whole answer; the store refused %d appends as it was full", complete, late, cutOff, s.store.refusedFull())
-	fmt.Printf("%d of the %d ordinary programs that began after the long turns are complete\n", complete, late)
-	if late < 20 {
+	text := fmt.Sprintf("after the long turns: %d of %d turns of ordinary programs and %d of %d payments were served, %d of %d programs are complete; the store refused %d appends as it was full",
+		served, asked, paid, payments, complete, programs, s.store.refusedFull())
+	s.record.printf("%s", text)
+	fmt.Println(text)
+	if programs < 20 || payments == 0 {
 		return false, fmt.Errorf("%w: too few programs began late enough", errCannotRun)
 	}
-	return complete*4 >= late, nil
+	all := float64(served+paid) / float64(asked+payments)
+	return float64(served)/float64(asked) >= all/4, nil
 }
 
 // sendLongTurns sends turns of many programs. Their bodies begin with a quarter of the longest that the
--- a/review/kit-2/site.go
+++ b/review/kit-2/site.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"os"
 	"path/filepath"
 	"strings"
@@ -195,8 +194,6 @@
 	status int
 	header http.Header
 	body   string
-	// kept is set if the attempt was sent on a connection that had carried another one.
-	kept bool
 	// events is the number of whole events, and whole is set if the answer ended as complete.
 	events int
 	whole  bool
@@ -227,7 +224,6 @@
 		client = newClient()
 		defer client.CloseIdleConnections()
 	}
-	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { out.kept = info.Reused }}))
 	if r.method == http.MethodPost {
 		// Without this, net/http sends a request again on its own when a kept connection is closed.
 		req.GetBody = nil
@@ -316,8 +312,8 @@
 type outcome struct {
 	begunAt  time.Time
 	complete bool
-	// cutOff is the number of attempts from kept connections whose connection was closed without a whole answer.
-	cutOff int
+	// asked and served count the turns that were sent and those that were answered whole.
+	asked, served int
 }
 
 // playProgram plays an ordinary program of four turns on connections that it keeps. A turn is tried up
@@ -329,21 +325,20 @@
 	out := outcome{begunAt: time.Now()}
 	for range 4 {
 		done := false
+		out.asked++
 		for try := 0; try < 6 && !done; try++ {
 			r := turnRequest(program, session, previous, 20*maxTurnTokens, []byte(strings.Repeat("grade and moisture. ", 215)))
 			r.client = client
 			got := s.send(s.pick(), r)
 			if got.served() {
 				previous, done = got.id, true
+				out.served++
 				break
 			}
 			switch got.status {
 			case 400, 401, 402, 403, 404, 413:
 				return out
 			}
-			if got.kept && !got.whole {
-				out.cutOff++
-			}
 			time.Sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond)
 		}
 		if !done {
