--- a/review/14/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lavendervaled ] || { echo "target/lavendervaled isn't built" >&2; exit 2; }
 [ -x target/review-3 ] || bash review/build-3.sh || exit 2
-exec target/review-3 resumed review/14
+exec target/review-3 resumed review/13
