--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -21,10 +21,8 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) (int, error){
-	"fanout":   fanout,
 	"slowbody": slowbody,
 	"torn":     torn,
-	"resumed":  resumed,
 }
 
 func main() { os.Exit(play()) }
--- a/review/kit-3/site.go
+++ b/review/kit-3/site.go
@@ -23,9 +23,6 @@
 // machineMB is the memory of a machine of class front.
 const machineMB = 154
 
-// restartDelay is the time until a process that was killed starts again.
-const restartDelay = 300 * time.Millisecond
-
 // site is a small deployment on loopback addresses: stand-ins and the project's own fronts.
 type site struct {
 	dir    string
@@ -53,9 +50,6 @@
 	ended                          chan struct{}
 	killed                         bool
 	ownEnds                        int
-	// memoryEnds counts how often the platform killed the process because it held more than its machine has.
-	memoryEnds int
-	peakMB     float64
 }
 
 func newSite(dir string) (*site, error) {
@@ -228,37 +222,6 @@
 	return 0
 }
 
-// watchMemory notes the most that the process holds. As the platform does, it kills a process that holds more
-// than its machine has, and starts it again after a short delay.
-func (f *front) watchMemory(stop <-chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(50 * time.Millisecond):
-		}
-		mb := f.anonymousMB()
-		f.mu.Lock()
-		f.peakMB = max(f.peakMB, mb)
-		ended := f.ended
-		f.mu.Unlock()
-		if mb <= machineMB {
-			continue
-		}
-		f.site.note("%s holds %.1f MB on a machine of %d MB", f.name, mb, machineMB)
-		f.signal(syscall.SIGKILL)
-		<-ended
-		f.mu.Lock()
-		f.memoryEnds++
-		f.mu.Unlock()
-		time.Sleep(restartDelay)
-		if err := f.start(); err != nil {
-			f.site.note("%s doesn't start: %v", f.name, err)
-			return
-		}
-	}
-}
-
 // configure publishes a configuration like those of a small deployment.
 func (s *site) configure(version int, resumableTurns bool) {
 	value, _ := json.Marshal(map[string]any{
@@ -421,17 +384,3 @@
 		}
 	}
 }
-
-// overMemory reports whether processes ended three times each on two machines or more because of their memory.
-func (s *site) overMemory() bool {
-	machines := 0
-	for _, f := range s.fronts {
-		f.mu.Lock()
-		s.note("%s: at most %.1f MB of anonymous memory on a machine of %d MB, killed for it %d times, ended otherwise by itself %d times", f.name, f.peakMB, machineMB, f.memoryEnds, f.ownEnds)
-		if f.memoryEnds+f.ownEnds >= 3 {
-			machines++
-		}
-		f.mu.Unlock()
-	}
-	return machines >= 2
-}
