--- /dev/null
+++ b/review/kit-4/unread.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+func init() { plays["unread"] = playUnread }
+
+const (
+	// unreadWorkers are the servers of the engines' service, unreadSlots the slots of each.
+	unreadWorkers, unreadSlots = 3, 8
+	// unreadClients is the number of connections whose answers are not read.
+	unreadClients = 60
+	// unreadRequests is how many requests each of them sends at most, one each unreadPause.
+	unreadRequests, unreadPause = 24, 500 * time.Millisecond
+	// unreadDeadline is the header Deadline-Ms of these clients.
+	unreadDeadline = "600000"
+	// unreadSettle is the time after their last request in which all that runs ends: it is longer than the
+	// route's timeout of 3 s.
+	unreadSettle = 12 * time.Second
+	// unreadJudged is how long ordinary requests are counted.
+	unreadJudged = 20 * time.Second
+)
+
+// dialSmall opens a connection with a small window, as that of a client which is far away.
+func dialSmall(address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 1400)
+		})
+	}}
+	return d.Dial("tcp", address)
+}
+
+// playUnread has clients that send proper requests and don't read the answers. Beside them an ordinary
+// client asks at two fronts.
+func playUnread(r *record, trouble bool) (bool, error) {
+	s, err := open(r, 300*time.Second)
+	if err != nil {
+		return false, err
+	}
+	s.configure(1, []map[string]any{{
+		"name": "tally", "hostname": host, "path_prefix": "/tally/", "kind": "streaming", "timeout_ms": 3000, "target_latency_ms": 400, "priority": 2,
+		"service": "engines", "max_attempts": 1, "stateful": false, "retention_s": 60, "sticky": true, "resumable": true, "gap_aim_ms": 150,
+	}}, []map[string]any{engineService("engines")})
+	var workers []*worker
+	for i := range unreadWorkers {
+		w := &worker{id: fmt.Sprintf("i-%d", i+1), slots: unreadSlots, record: r, events: 22, eventBytes: 570, firstAfter: 40 * time.Millisecond, gap: 5 * time.Millisecond}
+		address, err := s.serve(w)
+		if err != nil {
+			return false, err
+		}
+		s.register(w.id, "engines", address, unreadSlots)
+		workers = append(workers, w)
+	}
+	for _, name := range []string{"front-1", "front-2"} {
+		if _, err := s.addFront(name, "a"); err != nil {
+			return false, err
+		}
+	}
+	for _, f := range s.fronts {
+		if err := f.awaitReady(); err != nil {
+			return false, err
+		}
+	}
+	ordinary := func(f *front) answer {
+		return ask(f, http.MethodPost, "/tally/1", map[string]string{"Request-Id": newID("o"), "Token-Usage": "700,290", "Deadline-Ms": "3000"}, strings.NewReader("a prompt"), 4*time.Second)
+	}
+	for _, f := range s.fronts {
+		if a := ordinary(f); !a.served() {
+			return false, fmt.Errorf("an ordinary request is not served at the start: %s", a)
+		}
+	}
+	var conns sync.WaitGroup
+	var open, closedByFront, sent atomic.Int64
+	stop := make(chan struct{})
+	leave := sync.OnceFunc(func() { close(stop) })
+	defer leave()
+	began := time.Now()
+	for range unreadClients {
+		conns.Add(1)
+		go func() {
+			defer conns.Done()
+			conn, err := dialSmall(s.fronts[0].callers)
+			if err != nil {
+				r.line("a client can't connect: %v", err)
+				return
+			}
+			open.Add(1)
+			if !trouble {
+				// The same requests of a client that reads.
+				go func() {
+					buffer := make([]byte, 4096)
+					for {
+						if _, err := conn.Read(buffer); err != nil {
+							return
+						}
+					}
+				}()
+			}
+			go func() {
+				<-stop
+				_ = conn.Close()
+			}()
+			for range unreadRequests {
+				_, err := fmt.Fprintf(conn, "POST /tally/9 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nToken-Usage: 700,290\r\nDeadline-Ms: %s\r\nContent-Length: 8\r\n\r\na prompt", host, newID("u"), unreadDeadline)
+				if err != nil {
+					closedByFront.Add(1)
+					return
+				}
+				sent.Add(1)
+				time.Sleep(unreadPause)
+			}
+		}()
+	}
+	conns.Wait()
+	r.say("%d clients have sent %d requests in %.1f s; %d of their connections were closed", open.Load(), sent.Load(), time.Since(began).Seconds(), closedByFront.Load())
+	time.Sleep(unreadSettle)
+	for _, w := range workers {
+		r.say("server %s: %d requests run so far, %d at work now", w.id, w.ran.Load(), w.running.Load())
+	}
+	var counts [2][2]int
+	var ask sync.WaitGroup
+	for i, f := range s.fronts {
+		ask.Add(1)
+		go func() {
+			defer ask.Done()
+			for end := time.Now().Add(unreadJudged); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				a := ordinary(f)
+				counts[i][0]++
+				if a.served() {
+					counts[i][1]++
+				}
+				r.line("ordinary request at %s: %s", f.name, a)
+			}
+		}()
+	}
+	ask.Wait()
+	asked, served := 0, 0
+	for i, f := range s.fronts {
+		asked, served = asked+counts[i][0], served+counts[i][1]
+		r.say("%s: %d ordinary requests, %d served", f.name, counts[i][0], counts[i][1])
+		f.warnings(r, 10)
+	}
+	for _, w := range workers {
+		r.say("server %s: %d requests run in all, %d at work now", w.id, w.ran.Load(), w.running.Load())
+	}
+	leave()
+	time.Sleep(2 * time.Second)
+	for _, f := range s.fronts {
+		r.say("an ordinary request at %s after the others have left: %s", f.name, ordinary(f))
+	}
+	// Ordinary callers still get answers: the rule is taken for broken only if none of them does.
+	return asked > 0 && served == 0, nil
+}
