--- a/review/kit-4/expiry.go
+++ b/review/kit-4/expiry.go
@@ -11,11 +11,11 @@
 
 const (
 	// expiryLog is retention_s of the platform's log, and expiryTurn retention_s of the route, in seconds.
-	expiryLog, expiryTurn = 60, 60
+	expiryLog, expiryTurn = 90, 60
 	// expiryChains is the number of conversations, of three turns each.
 	expiryChains = 12
 	// expiryGap is the time between the turns of a conversation.
-	expiryGap = 32 * time.Second
+	expiryGap = 46 * time.Second
 )
 
 // playExpiry keeps conversations whose turns are less than the retention of the route apart, and kills all
