Take a response without a length that is reset for broken, also during an upload

What callers saw: an endpoint answered a long upload at once with a 200 that had neither length nor chunks, sent a part of the body and reset the connection.

Cause: the system reports a reset once, to the first call that meets it. While a request is written that is the write. The read then sees the end of the data, which is where a response without a length ends. All HTTP clients read that way, our own and those that use net/http.

Change: adapter/transport.Conn keeps the first error of a write; at the end of the data a read ends writes in progress and returns that error, unless it is EPIPE, which the system reports for a reset that follows an orderly close.

Why it works: only a write can have taken the error from the read, writes hold a lock, and the write in progress is over before its error is looked at. A peer that closes its side first loses nothing, so such responses stay whole.

--- a/adapter/engine/client.go
+++ b/adapter/engine/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/lavendervale/lavendervale/adapter/transport"
 	"github.com/lavendervale/lavendervale/class"
 	"github.com/lavendervale/lavendervale/home"
 	"github.com/lavendervale/lavendervale/program"
@@ -40,12 +41,12 @@
 
 // New returns a client of the engine at c.Address. It does not connect yet.
 func New(c Config) *Client {
-	transport := &http.Transport{
+	t := transport.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
-	}
-	return &Client{baseURL: "http://" + c.Address, httpClient: &http.Client{Transport: transport}}
+	})
+	return &Client{baseURL: "http://" + c.Address, httpClient: &http.Client{Transport: t}}
 }
 
 // Close closes the idle connections. Requests in progress continue.
--- a/adapter/platform/client.go
+++ b/adapter/platform/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"time"
 
+	"github.com/lavendervale/lavendervale/adapter/transport"
 	"github.com/lavendervale/lavendervale/fleet"
 )
 
@@ -40,11 +41,11 @@
 
 // New returns a client of the platform at c.Address. It does not connect yet.
 func New(c Config) *Client {
-	transport := &http.Transport{
+	t := transport.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
-	}
-	return &Client{baseURL: "http://" + c.Address, httpClient: &http.Client{Transport: transport, Timeout: requestTimeout}}
+	})
+	return &Client{baseURL: "http://" + c.Address, httpClient: &http.Client{Transport: t, Timeout: requestTimeout}}
 }
 
 // Close closes the idle connections. Requests in progress continue.
--- a/adapter/service/client.go
+++ b/adapter/service/client.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"github.com/lavendervale/lavendervale/adapter/transport"
 	"github.com/lavendervale/lavendervale/order"
 )
 
@@ -43,8 +44,8 @@
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	// Each order uses a new connection. On a reused one that the service closes at the
 	// same moment, the order could fail after it was sent and would be in doubt.
-	orderTransport := &http.Transport{DialContext: dial, DisableKeepAlives: true}
-	idempotentTransport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns}
+	orderTransport := transport.New(&http.Transport{DialContext: dial, DisableKeepAlives: true})
+	idempotentTransport := transport.New(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns})
 	return &Client{
 		baseURL: "http://" + c.Address, orderClient: &http.Client{Transport: orderTransport, Timeout: c.Timeout},
 		idempotentClient: &http.Client{Transport: idempotentTransport, Timeout: c.Timeout},
--- a/cmd/lavendervaled/hostile_test.go
+++ b/cmd/lavendervaled/hostile_test.go
@@ -60,7 +60,7 @@
 }
 
 func newHostileSite(t *testing.T) *hostileSite {
-	s := &hostileSite{endpoint: worker.New("shop-1", false), addresses: map[string]string{}}
+	s := &hostileSite{endpoint: worker.New("shop-1", false)}
 	platformStore := store.New()
 	storeServer, endpointServer := httptest.NewServer(platformStore), httptest.NewServer(s.endpoint)
 	t.Cleanup(storeServer.Close)
@@ -75,20 +75,27 @@
 	platformStore.Put("keyed.op", "config", configuration)
 	platformStore.Put("keyed.servers", "shop-1", fmt.Appendf(nil,
 		`{"service":"shop","address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"seq":1}`, strings.TrimPrefix(endpointServer.URL, "http://")))
-	settings := regexp.MustCompile(`(?m)^memory = .*`).ReplaceAllString(exampleSettings(t, "front"), fmt.Sprint("memory = ", hostileMemoryMB))
-	settings = strings.Replace(settings, "address = 127.0.0.1:8090", "address = "+strings.TrimPrefix(storeServer.URL, "http://"), 1)
+	s.front, s.addresses = startFront(t, strings.TrimPrefix(storeServer.URL, "http://"), hostileMemoryMB)
+	s.requireOrdinaryAnswer(t, "before the crowd")
+	return s
+}
+
+// startFront runs a front before a store, and returns its process and its addresses by port.
+func startFront(t *testing.T, storeAddress string, memoryMB int) (*child, map[string]string) {
+	t.Helper()
+	settings := regexp.MustCompile(`(?m)^memory = .*`).ReplaceAllString(exampleSettings(t, "front"), fmt.Sprint("memory = ", memoryMB))
+	settings = strings.Replace(settings, "address = 127.0.0.1:8090", "address = "+storeAddress, 1)
 	settings = strings.Replace(settings, "metrics = 127.0.0.1:0", "metrics = "+freeAddress(t), 1)
-	s.front = startChild(t, writeSettings(t, settings))
-	require.True(t, s.front.stdout.lines.Scan())
+	front, addresses := startChild(t, writeSettings(t, settings)), map[string]string{}
+	require.True(t, front.stdout.lines.Scan())
 	for port, pattern := range portPatterns {
-		address := pattern.FindStringSubmatch(s.front.stdout.lines.Text())
-		require.Len(t, address, 2, s.front.stdout.lines.Text())
-		s.addresses[port] = address[1]
+		address := pattern.FindStringSubmatch(front.stdout.lines.Text())
+		require.Len(t, address, 2, front.stdout.lines.Text())
+		addresses[port] = address[1]
 	}
-	go func() { _, _ = io.Copy(io.Discard, s.front.stdout.file) }()
-	go func() { _, _ = io.Copy(io.Discard, s.front.stderr.file) }()
-	s.requireOrdinaryAnswer(t, "before the crowd")
-	return s
+	go func() { _, _ = io.Copy(io.Discard, front.stdout.file) }()
+	go func() { _, _ = io.Copy(io.Discard, front.stderr.file) }()
+	return front, addresses
 }
 
 // freeAddress returns an address of loopback whose port is free.
