Refuse responses whose status is below 100

What callers saw: an endpoint in trouble answered with status 000. The client got a body that was not the endpoint's, with the head that stood in the body of that answer; in the other product the body of an answer with status 000 was the result of an order, and a completion with that status counted as not run. An append of a turn that the store answered so counted as refused, which proves that it was not done.

Cause: net/http accepts any three digits, and two with a sign. The client of endpoints took what is below 200 for informational and read on behind the head; the other clients compare with the statuses that they know, 000 being below 300 and below 500.

A status 000 with another body was refused before, but only at the deadline if the connection stayed open; the earlier log's client held. Those cases stay.

Change: transport.Check refuses such a response before anything in its head is believed: in the client of endpoints, and in transport.Transport, which the clients of services, engines, the store and the earlier log use.

Why it works: each of them gets its response from one of these two places, and an error there is in doubt or unknown, as after a connection that broke off.

Result: the tests hold, those of sound responses too.

--- a/adapter/service/broken_response_test.go
+++ b/adapter/service/broken_response_test.go
@@ -12,6 +12,28 @@
 	"github.com/lavendervale/lavendervale/standin/raw"
 )
 
+// TestMalformedResponseIsInDoubt guards against a response that net/http accepts although its head
+// has no meaning.
+func TestMalformedResponseIsInDoubt(t *testing.T) {
+	tests := []struct{ name, response string }{
+		{name: "status 000", response: "HTTP/1.1 000 Error\r\nContent-Length: 4\r\n\r\nbody"},
+		{name: "status 000, no length", response: "HTTP/1.1 000 Error\r\n\r\nbody"},
+		{name: "status 099", response: "HTTP/1.1 099 Error\r\nContent-Length: 4\r\n\r\nbody"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server, err := raw.New(raw.Response{Bytes: test.response, Ending: raw.Close})
+			require.NoError(t, err)
+			defer server.Close()
+			c := service.New(service.Config{Address: server.Address()})
+			defer c.Close()
+			body, err := c.Do(t.Context(), order.NewRequest(order.RequestConfig{Key: order.NewKey(program.NewID("caller", "key"), 1, 1), Method: "pay"}))
+			require.Error(t, err, "%q", body)
+			require.Equal(t, order.KindInDoubt, order.KindOf(err), "%v", err)
+		})
+	}
+}
+
 // TestUnframedResponseThatIsResetIsInDoubt guards against a part of a response that is taken for
 // the whole one because the reset is reported to the write of the request, not to the read.
 func TestUnframedResponseThatIsResetIsInDoubt(t *testing.T) {
--- a/adapter/transport/doc.go
+++ b/adapter/transport/doc.go
@@ -1,3 +1,3 @@
-// Package transport makes HTTP clients notice responses that broke off although net/http takes
-// them for whole.
+// Package transport makes HTTP clients refuse responses that net/http accepts although they broke
+// off or are not valid HTTP.
 package transport
--- a/adapter/transport/transport.go
+++ b/adapter/transport/transport.go
@@ -6,9 +6,18 @@
 	"net/http"
 )
 
-// New returns base with a DialContext whose connections are of type Conn. DialContext of base must be
-// set, and its connections must not use TLS.
-func New(base *http.Transport) *http.Transport {
+// minStatus is the lowest status of HTTP.
+const minStatus = 100
+
+// Transport is an http.RoundTripper over connections of type Conn that returns valid responses
+// only.
+type Transport struct {
+	*http.Transport
+}
+
+// New returns a Transport that uses base, whose DialContext must be set and open connections without
+// TLS. The caller must not use base any more.
+func New(base *http.Transport) *Transport {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
@@ -17,5 +26,28 @@
 		}
 		return NewConn(conn), nil
 	}
-	return base
+	return &Transport{Transport: base}
+}
+
+// RoundTrip sends a request and returns the response. Its errors are those of http.Transport and of
+// Check.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// Check returns an error of KindMalformed for a response that net/http accepts although it is not
+// valid HTTP: its status is below 100.
+func Check(response *http.Response) error {
+	if response.StatusCode < minStatus {
+		return Errorf("check response", KindMalformed, "status %q is below %d", response.Status, minStatus)
+	}
+	return nil
 }
--- a/cmd/lavendervaled/broken_response_test.go
+++ b/cmd/lavendervaled/broken_response_test.go
@@ -29,6 +29,8 @@
 	// wholeHead and streamHead begin valid responses of an endpoint.
 	wholeHead  = "HTTP/1.1 200 OK\r\nRequest-Id: " + raw.RequestID + "\r\nResponse-Stamp: stamp\r\n"
 	streamHead = wholeHead + "Content-Type: text/event-stream\r\n"
+	// zeroHead begins a response whose status has no meaning.
+	zeroHead   = "HTTP/1.1 000 Error\r\nRequest-Id: " + raw.RequestID + "\r\nResponse-Stamp: stamp\r\n"
 	firstEvent = "id: 1\ndata: a\n\n"
 )
 
@@ -135,6 +137,11 @@
 		{name: "stream without a length, reset later", path: "/stream/1", response: raw.Response{Bytes: streamHead + "\r\n" + firstEvent, Hold: 20 * time.Millisecond, Ending: raw.Reset}},
 		{name: "stream without a length, closed", path: "/stream/1", response: raw.Response{Bytes: streamHead + "\r\n" + firstEvent, Ending: raw.Close}, status: 200, body: firstEvent},
 		{name: "stream without a length, closed with unread bytes", path: "/stream/1", response: raw.Response{Bytes: streamHead + "\r\n" + firstEvent, Ending: raw.CloseUnread}, status: 200, body: firstEvent},
+		{name: "status 000", path: "/plain/1", response: raw.Response{Bytes: zeroHead + "Content-Length: 5\r\n\r\nwhole"}},
+		{name: "status 000, a response as its body", path: "/plain/1", response: raw.Response{Bytes: zeroHead + "\r\n" + wholeHead + "Content-Length: 5\r\n\r\ninner", Ending: raw.Close}},
+		{name: "stream, status 000", path: "/stream/1", response: raw.Response{Bytes: zeroHead + "Content-Type: text/event-stream\r\n\r\n" + firstEvent, Ending: raw.Close}},
+		{name: "stream, status 000, a stream as its body", path: "/stream/1", response: raw.Response{Bytes: zeroHead + "\r\n" + streamHead + "\r\n" + firstEvent, Ending: raw.Close}},
+		{name: "informational response", path: "/plain/1", response: raw.Response{Bytes: "HTTP/1.1 100 Continue\r\n\r\n" + wholeHead + "Content-Length: 5\r\n\r\nwhole"}, status: 200, body: "whole"},
 	}
 	for _, fronts := range []int{1, 2} {
 		endpoint, err := raw.New(raw.Response{})
