Refuse responses with a blank or a control character in the name of a header

What callers saw: an endpoint in trouble sent "Transfer-Encoding : chunked" or "Content-Length : 5". The client got the framing of the chunks, or what followed the body, as the body; with any other such name it got the response as a sound one. The same held for streams, through two fronts, for the results of orders and the completions of the other product, and for appends.

Cause: net/http accepts a blank in the name of a header and keeps the name as it is, so that it is not the name of the length or of the encoding, and the body ends with the connection.

Control characters, tabs and empty names were refused before, by net/http; the front passed on no line with such a name. Those cases stay in the tables.

Why it works: the head is checked before its length, its promise not to have run, or anything else in it is believed; net/http refuses the other characters that are not allowed in names.

--- a/adapter/engine/broken_response_test.go
+++ b/adapter/engine/broken_response_test.go
@@ -29,6 +29,8 @@
 	}{
 		{name: "no length, reset", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + chunk + usage, Ending: raw.Reset}},
 		{name: "no length, closed", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + stream, Ending: raw.Close}, sound: true},
+		{name: "blank after the name of the transfer encoding", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n1000\r\n" + stream, Ending: raw.Close}},
+		{name: "control byte in a name", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\n" + fields + "Na\x01me: 1\r\n\r\n" + stream, Ending: raw.Close}},
 		{name: "status 000", response: raw.Response{Bytes: "HTTP/1.1 000 Error\r\n" + fields + "\r\n" + stream, Ending: raw.Close}},
 	}
 	for _, test := range tests {
--- a/adapter/platform/broken_response_test.go
+++ b/adapter/platform/broken_response_test.go
@@ -21,6 +21,8 @@
 	}{
 		{name: "no length, reset", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\n\r\n{\"offset\"", Ending: raw.Reset}},
 		{name: "no length, closed", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\n\r\n{\"offset\":1}", Ending: raw.Close}, sound: true},
+		{name: "blank in a name", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\nTwo Words: 1\r\nContent-Length: 12\r\n\r\n{\"offset\":1}"}},
+		{name: "control byte in a name", response: raw.Response{Bytes: "HTTP/1.1 200 OK\r\nNa\x01me: 1\r\nContent-Length: 12\r\n\r\n{\"offset\":1}"}},
 		{name: "status 000", response: raw.Response{Bytes: "HTTP/1.1 000 Error\r\nContent-Length: 12\r\n\r\n{\"offset\":1}"}},
 	}
 	for _, test := range tests {
--- a/adapter/service/broken_response_test.go
+++ b/adapter/service/broken_response_test.go
@@ -19,6 +19,11 @@
 		{name: "status 000", response: "HTTP/1.1 000 Error\r\nContent-Length: 4\r\n\r\nbody"},
 		{name: "status 000, no length", response: "HTTP/1.1 000 Error\r\n\r\nbody"},
 		{name: "status 099", response: "HTTP/1.1 099 Error\r\nContent-Length: 4\r\n\r\nbody"},
+		{name: "blank in a name", response: "HTTP/1.1 200 OK\r\nTwo Words: 1\r\nContent-Length: 4\r\n\r\nbody"},
+		{name: "blank after the name of the length", response: "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more"},
+		{name: "blank after the name of the transfer encoding", response: "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		{name: "blank in a name of a refusal", response: "HTTP/1.1 409 Conflict\r\nTwo Words: 1\r\nContent-Length: 4\r\n\r\nbody"},
+		{name: "control byte in a name", response: "HTTP/1.1 200 OK\r\nNa\x01me: 1\r\nContent-Length: 4\r\n\r\nbody"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/adapter/transport/transport.go
+++ b/adapter/transport/transport.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
+	"unicode"
 )
 
 // minStatus is the lowest status of HTTP.
@@ -44,10 +46,18 @@
 }
 
 // Check returns an error of KindMalformed for a response that net/http accepts although it is not
-// valid HTTP: its status is below 100.
+// valid HTTP: its status is below 100, or the name of a header holds a blank or a control character.
 func Check(response *http.Response) error {
+	const op = "check response"
 	if response.StatusCode < minStatus {
-		return Errorf("check response", KindMalformed, "status %q is below %d", response.Status, minStatus)
+		return Errorf(op, KindMalformed, "status %q is below %d", response.Status, minStatus)
+	}
+	for name := range response.Header {
+		if strings.ContainsFunc(name, isBlankOrControl) {
+			return Errorf(op, KindMalformed, "name %q of a header holds a blank or a control character", name)
+		}
 	}
 	return nil
 }
+
+func isBlankOrControl(r rune) bool { return r == ' ' || unicode.IsControl(r) }
--- a/cmd/lavendervaled/broken_response_test.go
+++ b/cmd/lavendervaled/broken_response_test.go
@@ -120,7 +120,7 @@
 		name, path string
 		response   raw.Response
 		// status and body are those of a response that reaches the client. Status 0 stands for a broken one,
-		// of which the client gets no whole response with a status below 500.
+		// in place of which the client gets an error of the front or a response that breaks off.
 		status int
 		body   string
 	}{
@@ -141,6 +141,13 @@
 		{name: "status 000, a response as its body", path: "/plain/1", response: raw.Response{Bytes: zeroHead + "\r\n" + wholeHead + "Content-Length: 5\r\n\r\ninner", Ending: raw.Close}},
 		{name: "stream, status 000", path: "/stream/1", response: raw.Response{Bytes: zeroHead + "Content-Type: text/event-stream\r\n\r\n" + firstEvent, Ending: raw.Close}},
 		{name: "stream, status 000, a stream as its body", path: "/stream/1", response: raw.Response{Bytes: zeroHead + "\r\n" + streamHead + "\r\n" + firstEvent, Ending: raw.Close}},
+		{name: "blank in a name", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Two Words: 1\r\nContent-Length: 5\r\n\r\nwhole"}},
+		{name: "blank after the name of the length", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Content-Length : 5\r\n\r\nwhole and more", Ending: raw.Close}},
+		{name: "blank after the name of the transfer encoding", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", Ending: raw.Close}},
+		{name: "control byte in a name", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Na\x01me: 1\r\nContent-Length: 5\r\n\r\nwhole"}},
+		{name: "stream, blank in a name", path: "/stream/1", response: raw.Response{Bytes: streamHead + "Two Words: 1\r\n\r\n" + firstEvent, Ending: raw.Close}},
+		{name: "stream, blank after the name of the transfer encoding", path: "/stream/1", response: raw.Response{Bytes: streamHead + "Transfer-Encoding : chunked\r\n\r\nf\r\n" + firstEvent + "\r\n0\r\n\r\n", Ending: raw.Close}},
+		{name: "stream, control byte in a name", path: "/stream/1", response: raw.Response{Bytes: streamHead + "Na\x01me: 1\r\n\r\n" + firstEvent, Ending: raw.Close}},
 		{name: "informational response", path: "/plain/1", response: raw.Response{Bytes: "HTTP/1.1 100 Continue\r\n\r\n" + wholeHead + "Content-Length: 5\r\n\r\nwhole"}, status: 200, body: "whole"},
 	}
 	for _, fronts := range []int{1, 2} {
@@ -154,7 +161,7 @@
 					endpoint.SetResponse(test.response)
 					got := sendThrough(t, chain, endpoint, test.path, length)
 					if test.status == 0 {
-						require.False(t, got.whole && got.status < http.StatusInternalServerError, "%q", got.bytes)
+						require.False(t, got.whole && (got.status < http.StatusInternalServerError || got.header.Get("Response-Stamp") != ""), "%q", got.bytes)
 						return
 					}
 					require.True(t, got.whole, "%q", got.bytes)
