--- a/cmd/lavendervaled/broken_response_test.go
+++ b/cmd/lavendervaled/broken_response_test.go
@@ -144,9 +144,11 @@
 		{name: "blank in a name", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Two Words: 1\r\nContent-Length: 5\r\n\r\nwhole"}},
 		{name: "blank after the name of the length", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Content-Length : 5\r\n\r\nwhole and more", Ending: raw.Close}},
 		{name: "blank after the name of the transfer encoding", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", Ending: raw.Close}},
+		{name: "line that begins with a blank", path: "/plain/1", response: raw.Response{Bytes: wholeHead + " Content-Length: 5\r\n\r\nwhole and more", Ending: raw.Close}},
 		{name: "control byte in a name", path: "/plain/1", response: raw.Response{Bytes: wholeHead + "Na\x01me: 1\r\nContent-Length: 5\r\n\r\nwhole"}},
 		{name: "stream, blank in a name", path: "/stream/1", response: raw.Response{Bytes: streamHead + "Two Words: 1\r\n\r\n" + firstEvent, Ending: raw.Close}},
 		{name: "stream, blank after the name of the transfer encoding", path: "/stream/1", response: raw.Response{Bytes: streamHead + "Transfer-Encoding : chunked\r\n\r\nf\r\n" + firstEvent + "\r\n0\r\n\r\n", Ending: raw.Close}},
+		{name: "stream, line that begins with a blank", path: "/stream/1", response: raw.Response{Bytes: streamHead + " Name: 1\r\n\r\n" + firstEvent, Ending: raw.Close}},
 		{name: "stream, control byte in a name", path: "/stream/1", response: raw.Response{Bytes: streamHead + "Na\x01me: 1\r\n\r\n" + firstEvent, Ending: raw.Close}},
 		{name: "informational response", path: "/plain/1", response: raw.Response{Bytes: "HTTP/1.1 100 Continue\r\n\r\n" + wholeHead + "Content-Length: 5\r\n\r\nwhole"}, status: 200, body: "whole"},
 	}
