--- a/cmd/lavendervaled/broken_response_test.go
+++ b/cmd/lavendervaled/broken_response_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -30,7 +31,8 @@
 	wholeHead  = "HTTP/1.1 200 OK\r\nRequest-Id: " + raw.RequestID + "\r\nResponse-Stamp: stamp\r\n"
 	streamHead = wholeHead + "Content-Type: text/event-stream\r\n"
 	// zeroHead begins a response whose status has no meaning.
-	zeroHead   = "HTTP/1.1 000 Error\r\nRequest-Id: " + raw.RequestID + "\r\nResponse-Stamp: stamp\r\n"
+	zeroHead = "HTTP/1.1 000 Error\r\nRequest-Id: " + raw.RequestID + "\r\nResponse-Stamp: stamp\r\n"
+	// firstEvent is a whole stream.
 	firstEvent = "id: 1\ndata: a\n\n"
 )
 
@@ -99,14 +101,16 @@
 	require.NoError(t, err)
 	var got received
 	// A connection that is reset ends the response as well.
-	got.bytes, _ = io.ReadAll(conn)
+	got.bytes, err = io.ReadAll(conn)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 	reader := bufio.NewReader(bytes.NewReader(got.bytes))
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return got
 	}
 	body, err := io.ReadAll(response.Body)
-	require.Zero(t, reader.Buffered(), "bytes after the response: %q", got.bytes)
+	after, _ := io.ReadAll(reader)
+	require.Empty(t, after, "bytes after the response")
 	got.status, got.header, got.body = response.StatusCode, response.Header, string(body)
 	got.whole = err == nil && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
 	return got
