Refuse relayed responses of the store without a valid status

What callers saw: a turn could be refused as not run although its append had been made. A front that can't reach the store asks another one; if the reply held a status below 100, as one of an older version relays that has got status 000, or no response of the store at all, the call counted as refused.

Cause: StoreCall believed any status but 429 and 503. A reply without a response of the store reads as status 0, and the readers of the log take unknown statuses for a store that did nothing.

Evidence: adapter/mesh TestBrokenReplyToRelayedStoreCallIsNoResponse failed on in four of eleven cases: status 0 and 99, a reply to another kind of request, and an empty one. No reply and a part of one, closed or reset, were refused before: replies are frames with a length. Those cases stay.

Change: StoreCall asks the next front after such a reply, and returns an error if there is none, as after no reply.

Why it works: all relayed calls go through StoreCall, and its error leaves open whether the call took effect.

--- a/adapter/mesh/replicas.go
+++ b/adapter/mesh/replicas.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/lavendervale/lavendervale/adapter/transport"
 	meshpb "github.com/lavendervale/lavendervale/api/mesh/v1"
 	"github.com/lavendervale/lavendervale/timer"
 )
@@ -266,6 +267,10 @@
 			lastErr = Errorf("relay store call", KindUnreachable, "the store answered front %s with status %d", t.name, storeReply.GetStatus())
 			continue
 		}
+		if storeReply.GetStatus() < transport.MinStatus {
+			lastErr = Errorf("relay store call", KindUnreachable, "front %s replied without a valid status of the store: %d", t.name, storeReply.GetStatus())
+			continue
+		}
 		return int(storeReply.GetStatus()), storeReply.GetBody(), nil
 	}
 	return 0, nil, lastErr
--- a/adapter/transport/transport.go
+++ b/adapter/transport/transport.go
@@ -8,8 +8,8 @@
 	"unicode"
 )
 
-// minStatus is the lowest status of HTTP.
-const minStatus = 100
+// MinStatus is the lowest status of HTTP.
+const MinStatus = 100
 
 // Transport is an http.RoundTripper over connections of type Conn that returns valid responses
 // only.
@@ -49,8 +49,8 @@
 // valid HTTP: its status is below 100, or the name of a header holds a blank or a control character.
 func Check(response *http.Response) error {
 	const op = "check response"
-	if response.StatusCode < minStatus {
-		return Errorf(op, KindMalformed, "status %q is below %d", response.Status, minStatus)
+	if response.StatusCode < MinStatus {
+		return Errorf(op, KindMalformed, "status %q is below %d", response.Status, MinStatus)
 	}
 	for name := range response.Header {
 		if strings.ContainsFunc(name, isBlankOrControl) {
