Show that kept turns of one client exhaust the memory of fronts

Cause: the texts of kept turns have no bound in the memory of their home, and each next home reads all of them from the log again.

--- /dev/null
+++ b/review/kit-5/play.go
@@ -0,0 +1,364 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// usualBody is the usual length of a turn's input on the site sheet.
+	usualBody = 4300
+	// turnPause is the time between two turns of an ordinary program.
+	turnPause = 100 * time.Millisecond
+	// ordinaryCallers is the number of ordinary programs at a time.
+	ordinaryCallers = 6
+)
+
+// text returns an input of so many bytes that begins with a mark.
+func text(mark string, length int) []byte {
+	return append([]byte(mark), bytes.Repeat([]byte("x"), max(0, length-len(mark)))...)
+}
+
+// turnHeaders are the headers of a turn of a program.
+func turnHeaders(program, session string, budget int, previous string) []string {
+	headers := []string{"Model", "m", "Token-Usage", "1460,286", "Program-Id", program, "Session-Id", session, "Program-Deadline-Ms", "60000", "Token-Budget", fmt.Sprint(budget)}
+	if previous != "" {
+		headers = append(headers, "Previous-Turn", previous)
+	}
+	return headers
+}
+
+// tally counts what ordinary callers sent and got whole, and the turns that reached a worker and whose
+// connection was closed without a whole answer.
+type tally struct {
+	turns, served, cut, alerts, alerted atomic.Int64
+}
+
+func (t *tally) String() string {
+	return fmt.Sprintf("%d of %d turns and %d of %d alerts of ordinary callers were served, %d turns were passed on and cut off", t.served.Load(), t.turns.Load(), t.alerted.Load(), t.alerts.Load(), t.cut.Load())
+}
+
+// starved reports whether turns were served less than a quarter as often as all requests.
+func (t *tally) starved() bool {
+	turns := float64(t.served.Load()) / float64(max(1, t.turns.Load()))
+	all := float64(t.served.Load()+t.alerted.Load()) / float64(max(1, t.turns.Load()+t.alerts.Load()))
+	return 4*turns < all
+}
+
+// ordinary plays ordinary programs of four turns and plain requests for a while, on kept connections.
+func (s *site) ordinary(span time.Duration) *tally {
+	var t tally
+	var callers sync.WaitGroup
+	until := time.Now().Add(span)
+	for range ordinaryCallers {
+		callers.Go(func() {
+			client := newClient(true)
+			defer client.CloseIdleConnections()
+			for time.Now().Before(until) {
+				program, previous := newID(), ""
+				for n := range 4 {
+					time.Sleep(turnPause)
+					if !time.Now().Before(until) {
+						return
+					}
+					t.alerts.Add(1)
+					if s.sendBy(client, s.any(), "GET", "/alert/1", newID(), nil, nil).whole() {
+						t.alerted.Add(1)
+					}
+					id := newID()
+					t.turns.Add(1)
+					answer := s.sendBy(client, s.any(), "POST", "/keeps/1", id, text(fmt.Sprint("turn ", n), usualBody), nil, turnHeaders(program, program, 2288, previous)...)
+					if !answer.whole() {
+						if _, ran := s.record.runOf(id); ran && answer.err != nil {
+							t.cut.Add(1)
+						}
+						break
+					}
+					t.served.Add(1)
+					previous = id
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return &t
+}
+
+// any returns one of the fronts.
+func (s *site) any() *front { return s.fronts[rand.IntN(len(s.fronts))] }
+
+const (
+	// faultEnds and faultMachines are the bounds of the rule on processes that end by themselves.
+	faultEnds, faultMachines = 3, 2
+)
+
+// ends returns how often processes were killed because they held more memory than their machine has, on
+// how many machines, and on how many of these faultEnds times.
+func (s *site) ends() (times, machines, often int) {
+	for _, f := range s.fronts {
+		f.mu.Lock()
+		times += f.overs
+		if f.overs > 0 {
+			machines++
+		}
+		if f.overs >= faultEnds {
+			often++
+		}
+		f.mu.Unlock()
+	}
+	return times, machines, often
+}
+
+// judgeEnds logs how processes ended, and reports whether that breaks the rule.
+func (s *site) judgeEnds() bool {
+	times, machines, often := s.ends()
+	s.record.logf("processes were killed for their memory %d times on %d machines, on %d of them %d times or more", times, machines, often, faultEnds)
+	return often >= faultMachines
+}
+
+// awaitReady waits until a front is ready, and reports whether it is.
+func (s *site) awaitReady(f *front) bool {
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if f.isReady() {
+			return true
+		}
+	}
+	return false
+}
+
+// playKept has one client send turns of the longest body that the configuration permits, one after the
+// other. The platform kills a process that holds more memory than its machine has.
+func playKept(s *site, trouble bool) (bool, bool) {
+	const turns, span = 60, 40 * time.Second
+	length := usualBody
+	if trouble {
+		length = maxBody
+	}
+	before := s.ordinary(5 * time.Second)
+	s.record.logf("before: %s", before)
+	var during *tally
+	var callers sync.WaitGroup
+	callers.Go(func() { during = s.ordinary(span) })
+	program, kept, sent := newID(), 0, 0
+	for until := time.Now().Add(span); sent < turns && time.Now().Before(until); sent++ {
+		if s.send(s.any(), "POST", "/keeps/1", newID(), text(fmt.Sprint("long ", sent), length), turnHeaders(program, program, 100000, "")...).whole() {
+			kept++
+		}
+	}
+	callers.Wait()
+	s.record.logf("%d of %d turns of %d bytes were served", kept, sent, length)
+	s.record.logf("meanwhile: %s", during)
+	return s.judgeEnds(), before.served.Load() > 0 && kept > 0
+}
+
+// playFull has one client send turns of long bodies, of many programs, until the store is full or all are
+// sent. Then ordinary callers send turns for a while.
+func playFull(s *site, trouble bool) (bool, bool) {
+	const turns, span = 150, 40 * time.Second
+	before := s.ordinary(5 * time.Second)
+	s.record.logf("before: %s", before)
+	until := time.Now().Add(span)
+	var sent, kept atomic.Int64
+	var senders sync.WaitGroup
+	for range 4 {
+		senders.Go(func() {
+			for sent.Add(1) <= turns && time.Now().Before(until) {
+				stored, _ := s.store.stored()
+				length := usualBody
+				if trouble {
+					length = min(maxBody, max(usualBody, (storeBytes-stored)/4))
+				}
+				program := newID()
+				if s.send(s.any(), "POST", "/keeps/1", newID(), text("long", length), turnHeaders(program, program, 2288, "")...).whole() {
+					kept.Add(1)
+				}
+			}
+		})
+	}
+	senders.Wait()
+	stored, full := s.store.stored()
+	s.record.logf("%d turns were served; the store holds %d bytes and refused %d appends", kept.Load(), stored, full)
+	after := s.ordinary(25 * time.Second)
+	s.record.logf("after: %s", after)
+	return after.starved(), !before.starved() && after.turns.Load() > 10
+}
+
+// playContext has one client keep a conversation of three long turns and then continue it many times at once.
+func playContext(s *site, trouble bool) (bool, bool) {
+	const rounds, many = 6, 40
+	length := usualBody
+	if trouble {
+		length = maxBody
+	}
+	program, previous := newID(), ""
+	for range 3 {
+		kept := ""
+		for range 3 {
+			id := newID()
+			if s.send(s.any(), "POST", "/keeps/1", id, text("long", length), turnHeaders(program, program, 100000, previous)...).whole() {
+				kept = id
+				break
+			}
+		}
+		if kept == "" {
+			return false, false
+		}
+		previous = kept
+	}
+	for n := range rounds {
+		target := s.fronts[n%2]
+		if !s.awaitReady(target) {
+			s.record.logf("%s is not ready", target.name)
+			continue
+		}
+		time.Sleep(time.Second)
+		var clients sync.WaitGroup
+		var served atomic.Int64
+		for range many {
+			clients.Go(func() {
+				if s.send(target, "POST", "/keeps/1", newID(), text("short", 100), turnHeaders(program, newID(), 100000, previous)...).whole() {
+					served.Add(1)
+				}
+			})
+		}
+		clients.Wait()
+		s.record.logf("%d of %d turns that continue it were served", served.Load(), many)
+	}
+	return s.judgeEnds(), true
+}
+
+// playIDs has a client send streams with identifiers nearly as long as a head may be, to two fronts.
+func playIDs(s *site, trouble bool) (bool, bool) {
+	const span, conns, pause = 85 * time.Second, 24, 40 * time.Millisecond
+	length := 16
+	if trouble {
+		length = 15_000
+	}
+	var sent, served atomic.Int64
+	var clients sync.WaitGroup
+	until := time.Now().Add(span)
+	for _, target := range s.fronts[:2] {
+		for range conns {
+			clients.Go(func() {
+				client := newClient(true)
+				for time.Now().Before(until) && target.killed() < faultEnds {
+					time.Sleep(pause)
+					sent.Add(1)
+					if s.sendBy(client, target, "POST", "/goeson/1", newID()+strings.Repeat("0", length-16), text("short", 100), nil, "Model", "m", "Token-Usage", "1460,286").whole() {
+						served.Add(1)
+					}
+				}
+			})
+		}
+	}
+	clients.Wait()
+	s.record.logf("%d of %d streams with identifiers of %d bytes were served", served.Load(), sent.Load(), length)
+	return s.judgeEnds(), served.Load() > 0
+}
+
+// killed returns how often the process of a machine was killed for its memory.
+func (f *front) killed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.overs
+}
+
+// playResumed kills the front that serves a turn. Its client takes the stream up at another front and
+// then continues the turn.
+func playResumed(s *site, trouble bool) (bool, bool) {
+	wrong, checked := 0, 0
+	for n := range 8 {
+		first, second := s.fronts[n%len(s.fronts)], s.fronts[(n+3)%len(s.fronts)]
+		program, id, input := newID(), newID(), fmt.Sprintf("input %d.", n)
+		headers := turnHeaders(program, program, 100000, "")
+		killed := false
+		answer := s.sendBy(newClient(false), first, "POST", "/keeps/1", id, []byte(input), func(sofar string) {
+			if trouble && !killed && strings.Count(sofar, "\n\n") >= 3 {
+				killed = true
+				s.record.logf("kill    %s", first.name)
+				first.signal(9)
+			}
+		}, headers...)
+		last, events := id, answer.body
+		if !answer.whole() {
+			got := strings.Count(events, "\n\n")
+			if got == 0 {
+				continue
+			}
+			last = newID()
+			again := s.send(second, "POST", "/keeps/1", last, []byte(input), append(headers, "Last-Event-Id", fmt.Sprint(got), "Resumes", id)...)
+			if !again.whole() {
+				s.record.logf("the stream was not taken up")
+				continue
+			}
+			events = strings.Join(strings.SplitAfter(events, "\n\n")[:got], "") + again.body
+		}
+		want := input
+		for line := range strings.Lines(events) {
+			if data, ok := strings.CutPrefix(line, "data: "); ok {
+				want += data
+			}
+		}
+		next := newID()
+		s.send(second, "POST", "/keeps/1", next, []byte("next"), turnHeaders(program, program, 100000, last)...)
+		ran, ok := s.record.runOf(next)
+		if !ok {
+			s.record.logf("the turn after it did not run")
+			continue
+		}
+		checked++
+		if want += "next"; ran.Body != want {
+			wrong++
+			s.record.logf("WRONG: the worker ran %q, the conversation is %q", ran.Body, want)
+		}
+	}
+	s.record.logf("%d of %d turns ran with another conversation than their chain's", wrong, checked)
+	return wrong > 0, checked > 0
+}
+
+// playChain has clients keep conversations of turns within the limits and then continue each of them at
+// one front after the other, until a worker runs the turn.
+func playChain(s *site, trouble bool) (bool, bool) {
+	const chains, turns, bound = 8, 4, 5
+	length := usualBody
+	if trouble {
+		length = maxBody
+	}
+	lost, continued := 0, 0
+	for range chains {
+		program, previous, whole := newID(), "", true
+		for range turns {
+			id := newID()
+			if whole = s.send(s.any(), "POST", "/keeps/1", id, text("long", length), turnHeaders(program, program, 100000, previous)...).whole(); !whole {
+				break
+			}
+			previous = id
+		}
+		if !whole {
+			s.record.logf("the chain was not kept")
+			continue
+		}
+		continued++
+		tries, ran := 0, false
+		for _, n := range rand.Perm(len(s.fronts)) {
+			id := newID()
+			s.send(s.fronts[n], "POST", "/keeps/1", id, text("short", 100), turnHeaders(program, program, 100000, previous)...)
+			if _, ran = s.record.runOf(id); ran {
+				break
+			}
+			tries++
+		}
+		s.record.logf("a turn that continues %d bytes reached no worker in %d tries, then ran: %t", turns*length, tries, ran)
+		if tries >= bound {
+			lost++
+		}
+	}
+	s.record.logf("%d of %d turns reached no worker in %d tries or more", lost, continued, bound)
+	s.judgeEnds()
+	return lost > 0, continued > 0
+}
