Show that whole answers of leaving workers are cut off

Cause: the end of an answer without a length is taken for a crash when its endpoint accepts no connection, which a leaving one doesn't.

--- a/review/kit-5/main.go
+++ b/review/kit-5/main.go
@@ -20,6 +20,7 @@
 	"full":    {config{events: 4, gap: 2e6, unguarded: true}, playFull},
 	"context": {config{events: 6, gap: 50e6}, playContext},
 	"ids":     {config{events: 4, gap: 2e6}, playIDs},
+	"leaving": {config{events: 18, gap: 150e6, bare: true}, playLeaving},
 	"chain":   {config{events: 4, gap: 2e6}, playChain},
 	"resumed": {config{events: 8, gap: 60e6, resumable: true}, playResumed},
 }
--- a/review/kit-5/play.go
+++ b/review/kit-5/play.go
@@ -362,3 +362,89 @@
 	s.judgeEnds()
 	return lost > 0, continued > 0
 }
+
+// playLeaving releases four of the nine model workers, two at a time, each after a new one has started, and
+// does so again every few seconds. Callers send turns of 2.7 s all the while.
+func playLeaving(s *site, trouble bool) (bool, bool) {
+	const (
+		callers, bound    = 64, 3
+		releases, between = 4, 7 * time.Second
+		// serves is drain_ms and a little longer.
+		serves = 2200 * time.Millisecond
+	)
+	var sent, whole, lost atomic.Int64
+	var clients, leaving sync.WaitGroup
+	until := time.Now().Add(6*time.Second + releases*between)
+	for range callers {
+		clients.Go(func() {
+			client := newClient(true)
+			time.Sleep(rand.N(3 * time.Second))
+			for time.Now().Before(until) {
+				program, id := newID(), newID()
+				sent.Add(1)
+				answer := s.sendBy(client, s.any(), "POST", "/keeps/1", id, text("short", 100), nil, turnHeaders(program, program, 100000, "")...)
+				if answer.whole() {
+					whole.Add(1)
+				} else if v := s.toldBy(id); v != "" && answer.err != nil {
+					lost.Add(1)
+					s.record.logf("LOST: %s has sent the whole answer to %s, the client got %s", v, id, answer)
+				}
+			}
+		})
+	}
+	time.Sleep(4 * time.Second)
+	for n := range releases * 2 {
+		for range 2 {
+			if trouble {
+				old := s.oldestReady(modelService)
+				s.startWorker(modelService)
+				leaving.Go(func() { old.leave(s, serves) })
+				for old.isReady() {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		}
+		time.Sleep(time.Second)
+		if n%2 == 1 {
+			time.Sleep(between - 2*time.Second)
+		}
+	}
+	clients.Wait()
+	leaving.Wait()
+	s.record.logf("%d of %d turns were served; of %d the worker had sent the whole answer and the client's connection was closed", whole.Load(), sent.Load(), lost.Load())
+	return lost.Load() > bound, whole.Load() > 0
+}
+
+// oldestReady returns the worker of a service that has been ready for longest.
+func (s *site) oldestReady(service string) *worker {
+	for _, v := range s.allWorkers() {
+		if v.service == service && v.isReady() {
+			return v
+		}
+	}
+	return nil
+}
+
+// isReady reports whether the worker's entry says that it is ready.
+func (v *worker) isReady() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.state == "ready"
+}
+
+// toldBy returns the worker that has sent the whole answer to a request, or "".
+func (s *site) toldBy(id string) string {
+	for _, v := range s.allWorkers() {
+		if v.toldWhole(id) {
+			return v.id
+		}
+	}
+	return ""
+}
+
+// allWorkers returns the workers started so far.
+func (s *site) allWorkers() []*worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[:len(s.workers):len(s.workers)]
+}
--- a/review/kit-5/site.go
+++ b/review/kit-5/site.go
@@ -78,15 +78,20 @@
 	workers                 []*worker
 	stopped                 chan struct{}
 	stopOnce                sync.Once
+	config                  config
+	// mu guards workers.
+	mu sync.Mutex
 }
 
 // config is what sets a case's site apart.
 type config struct {
 	// resumable is set if the route that keeps turns is resumable too.
 	resumable bool
-	events    int
-	gap       time.Duration
-	fronts    int
+	// bare makes streams end with their connection.
+	bare   bool
+	events int
+	gap    time.Duration
+	fronts int
 	// unguarded leaves processes alive that hold more memory than they may.
 	unguarded bool
 }
@@ -116,15 +121,13 @@
 		},
 		"limits": map[string]any{"max_header_bytes": maxHead, "max_body_bytes": maxBody, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}))
+	s.config = c
 	for i := range models + plains {
-		w := &worker{id: fmt.Sprintf("i-%02d", i), service: modelService, slots: 8, events: c.events, gap: c.gap, record: s.record, started: time.Now()}
+		service := modelService
 		if i >= models {
-			w.service, w.slots = plainService, 6
+			service = plainService
 		}
-		l := listen(fmt.Sprintf("%s.%d", network, 100+i))
-		w.address = l.Addr().String()
-		go func() { _ = (&http.Server{Handler: w}).Serve(l) }()
-		s.workers = append(s.workers, w)
+		s.startWorker(service)
 	}
 	go s.beat()
 	count := fronts
@@ -167,14 +170,45 @@
 	return s, false
 }
 
+// startWorker starts a worker of a service.
+func (s *site) startWorker(service string) *worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.workers)
+	w := &worker{id: fmt.Sprintf("i-%02d", i), service: service, slots: 8, zone: zones[i%len(zones)], events: s.config.events, gap: s.config.gap, bare: s.config.bare, record: s.record, started: time.Now(), state: "ready", told: map[string]bool{}}
+	if service == plainService {
+		w.slots = 6
+	}
+	l := listen(fmt.Sprintf("%s.%d", network, 100+i))
+	w.address, w.server = l.Addr().String(), &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(l) }()
+	s.workers = append(s.workers, w)
+	s.beatOnce(w)
+	return w
+}
+
+// beatOnce writes the entry of a worker that has not left.
+func (s *site) beatOnce(w *worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state == "" {
+		return
+	}
+	w.seq++
+	s.store.put("keyed.servers", w.id, mustJSON(map[string]any{
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state,
+		"cold_left_ms": 0, "stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "seq": w.seq, "born": w.started.UnixMilli(),
+	}))
+}
+
 // beat writes the entries of the workers, as they do themselves.
 func (s *site) beat() {
-	for seq := 1; ; seq++ {
-		for i, w := range s.workers {
-			s.store.put("keyed.servers", w.id, mustJSON(map[string]any{
-				"service": w.service, "address": w.address, "zone": zones[i%len(zones)], "version": "v1", "slots": w.slots, "state": "ready",
-				"cold_left_ms": 0, "stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "seq": seq, "born": w.started.UnixMilli(),
-			}))
+	for {
+		s.mu.Lock()
+		workers := s.workers[:len(s.workers):len(s.workers)]
+		s.mu.Unlock()
+		for _, w := range workers {
+			s.beatOnce(w)
 		}
 		select {
 		case <-s.stopped:
