Log what is known of an endpoint that breaks off a request

The line did not tell whether the endpoint was known to leave, whether its port refused or did not answer, or how old the front's knowledge was: a wrong reading of a planned end, an endpoint that had failed, and entries read too late looked alike. Heartbeats of entries are kept for it.

--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -99,6 +99,9 @@
 	}
 	if ok && old.registration.StartedUnixMS == r.StartedUnixMS && old.registration.Version == r.Version && old.registration.Address == r.Address && old.registration.Service == r.Service {
 		changed := old.state != r.State || !old.missingSince.IsZero()
+		if r.Heartbeat != old.registration.Heartbeat {
+			old.heartbeat = heartbeat{readAt: now, writtenAfter: d.readAt, repeated: true}
+		}
 		old.registration, old.state, old.missingSince = r, r.State, time.Time{}
 		old.tenure.frozen = false
 		if r.ColdFor > 0 {
@@ -110,7 +113,7 @@
 		return changed
 	}
 	delete(d.capacities, r.Service)
-	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State, addedAt: now, tenure: &tenure{since: now}}
+	added := &Endpoint{registration: r, key: Key(r.ID), state: r.State, addedAt: now, tenure: &tenure{since: now}, heartbeat: heartbeat{readAt: now, writtenAfter: d.readAt}}
 	if ok {
 		added.tenure = d.succeed(old, r, now)
 		d.drop(old, now)
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -38,6 +38,8 @@
 	State State
 	// ColdFor is how much longer the endpoint stays slow after its start; 0 if it is warm.
 	ColdFor time.Duration
+	// Heartbeat grows with each heartbeat of the incarnation.
+	Heartbeat int64
 }
 
 // Endpoint is one incarnation of an endpoint with its load and the health that this
@@ -55,6 +57,7 @@
 	tenure *tenure
 	// missingSince is when the registration went missing, or zero while it is present.
 	missingSince time.Time
+	heartbeat    heartbeat
 	// localRunning is the number of requests of this instance at the endpoint.
 	localRunning int
 	// peerRunning is the number of requests of other instances, from their load reports.
--- a/gateway/endpoint_result.go
+++ b/gateway/endpoint_result.go
@@ -27,9 +27,19 @@
 	if kind == KindReset || kind == KindBroken {
 		go c.recordCrashIfDown(c.target, now)
 	}
-	c.Logger.Warn("endpoint failed", zap.String("request", c.request.ID), zap.String("endpoint", c.target.ID()),
-		zap.String("address", c.target.Address()), zap.String("version", c.target.Registration().Version),
-		zap.Int64("started", c.target.Registration().StartedUnixMS), zap.Int("events", c.eventCount), zap.Error(err))
+	fields := []zap.Field{
+		zap.String("request", c.request.ID), zap.String("endpoint", c.target.ID()), zap.String("address", c.target.Address()), zap.String("version", c.target.Registration().Version),
+		zap.Int64("started", c.target.Registration().StartedUnixMS), zap.Int("events", c.eventCount), zap.Error(err),
+	}
+	c.Logger.Warn("endpoint failed", append(fields, presenceFields(c.Directory.Presence(c.target, now))...)...)
+}
+
+// presenceFields returns the log fields that tell an endpoint that leaves from one that has crashed.
+func presenceFields(p endpoint.Presence) []zap.Field {
+	return []zap.Field{
+		zap.Bool("draining", p.Draining()), zap.Bool("leaving", p.Leaving()), zap.Duration("missing", p.MissingFor()),
+		zap.Duration("heartbeat_age", p.HeartbeatAge()), zap.Duration("read_age", p.ReadAge()),
+	}
 }
 
 // recordLimit reports the rate limit that an endpoint named in a response to the directory,
@@ -66,6 +76,8 @@
 		return
 	}
 	c.CrashTracker.RecordCrash(c.identity, target.IncarnationKey(), target.PickedAt(), brokenAt)
-	c.Logger.Warn("endpoint crashed while it ran a request", zap.String("request", c.request.ID), zap.String("endpoint", target.ID()),
-		zap.Uint64("content", c.identity.Content()), zap.Uint64("conversation", c.identity.Conversation()))
+	fields := []zap.Field{
+		zap.String("request", c.request.ID), zap.String("endpoint", target.ID()), zap.Uint64("content", c.identity.Content()), zap.Uint64("conversation", c.identity.Conversation()),
+	}
+	c.Logger.Warn("endpoint crashed while it ran a request", append(fields, presenceFields(c.Directory.Presence(target, time.Now()))...)...)
 }
