Tell endpoints that leave from those that crash at the end of a response

Callers got all events of a stream and then a closed connection, or 502 for a payment that had been answered, when the endpoint closed its port before it ended its last responses, as it does when it leaves. The turn was not kept, and the request was marked as one that crashes endpoints.

Cause: a response without a length or chunks counted as whole only if the endpoint accepted a new connection. A crash closes the port, but so does a planned end. Change: endpoint.Directory.Closure decides by the entry, the drain time, heartbeats and what responses said; the gateway asks it, and whether another connection to the endpoint is open, waits for heartbeats as long as the request has time, and asks it before a crash is held against a request. The drain time and the heartbeat interval come from the platform's settings. A crash is told by what a living endpoint can't do: close its port within the drain time, or send no heartbeat for one and a half intervals. Tests of the packages hold, with the race detector too.

--- a/adapter/inifile/front.go
+++ b/adapter/inifile/front.go
@@ -46,15 +46,24 @@
 	config.StoreWriteRate = storeSection.positiveNumber("writes", 0)
 	config.MaxRecordBytes = int(storeSection.integer("record_bytes", daemon.DefaultRecordBytes, minRecordBytes, math.MaxInt32))
 	storeSection.checkKeys()
+	readEndpoints(f, config)
 	readOverload(f, config)
 	readLog(f, settings)
-	if err := f.checkSections("read settings", "[process]", "[listen]", "[store]", "[platform]", "[overload]", "[log]"); err != nil {
+	if err := f.checkSections("read settings", "[process]", "[listen]", "[store]", "[endpoints]", "[platform]", "[overload]", "[log]"); err != nil {
 		return nil, err
 	}
 	settings.front = config
 	return settings, nil
 }
 
+// readEndpoints parses what the platform says of its endpoints.
+func readEndpoints(f *file, config *daemon.FrontConfig) {
+	endpointSection := f.section("endpoints")
+	config.DrainTime = endpointSection.duration("drain", 0)
+	config.HeartbeatInterval = endpointSection.duration("heartbeat", 0)
+	endpointSection.checkKeys()
+}
+
 // readOverload parses what is done while engines are full. An explicit setting goes before what the
 // contracts of the platform call for.
 func readOverload(f *file, config *daemon.FrontConfig) {
--- a/adapter/inifile/front_test.go
+++ b/adapter/inifile/front_test.go
@@ -22,6 +22,8 @@
 	require.Equal(t, 8*time.Second, c.GracePeriod)
 	require.Equal(t, 12, c.Shards)
 	require.Equal(t, 800.0, c.StoreWriteRate)
+	require.Equal(t, 2*time.Second, c.DrainTime)
+	require.Equal(t, 1200*time.Millisecond, c.HeartbeatInterval)
 }
 
 func TestFrontSettingsErrors(t *testing.T) {
@@ -37,6 +39,8 @@
 		{name: "unknown key", old: "shards = 12", new: "shard = 12", want: "shard"},
 		{name: "unknown section", old: "[log]", new: "[logs]", want: "logs"},
 		{name: "key outside any section", old: "[process]\n", new: "colour = blue\n[process]\n", want: "front.ini:3: colour: outside any section"},
+		{name: "heartbeat without a unit", old: "heartbeat = 1.2s", new: "heartbeat = 1200", want: "[endpoints] heartbeat"},
+		{name: "unknown key of endpoints", old: "drain = 2s", new: "drains = 2s", want: "[endpoints] drains"},
 		{name: "no such admission", old: "admission = queue", new: "admission = refuses", want: "[overload] admission"},
 		{name: "load of zero", old: "load = 0.9", new: "load = 0", want: "[overload] load"},
 		{name: "negative load", old: "load = 0.9", new: "load = -1", want: "[overload] load"},
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -59,6 +59,9 @@
 	// QuotaSpan is the length of the spans in which quotas of customers hold; 0 is
 	// DefaultQuotaSpan.
 	QuotaSpan time.Duration
+	// DrainTime and HeartbeatInterval are those of endpoint.DirectoryConfig.
+	DrainTime         time.Duration
+	HeartbeatInterval time.Duration
 	// RefuseWhenFull refuses programs that begin while engines are full; otherwise they wait.
 	RefuseWhenFull bool
 	// AdmissionLoad is the ratio of running requests to the slots of engines from which on programs
@@ -135,7 +138,8 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(c.MemoryMB) * (1 << 20)))
 	}
 	f := &Front{
-		config: c, routes: &route.Store{}, directory: endpoint.NewDirectory(), registry: prometheus.NewRegistry(), incarnation: newIncarnation(),
+		config: c, routes: &route.Store{}, directory: endpoint.NewDirectoryWith(endpoint.DirectoryConfig{DrainTime: c.DrainTime, HeartbeatInterval: c.HeartbeatInterval}),
+		registry: prometheus.NewRegistry(), incarnation: newIncarnation(),
 	}
 	var shares mesh.ShareLedger
 	if c.RefuseWhenFull && c.FairShares {
--- a/endpoint/directory.go
+++ b/endpoint/directory.go
@@ -23,6 +23,11 @@
 	// Draw returns the next random number for picks, at least 0 and less than 1; nil is rand.Float64. It
 	// is not called concurrently.
 	Draw func() float64
+	// DrainTime is how long an endpoint goes on to accept connections once its departure is
+	// reported, at least; 0 is 2 s.
+	DrainTime time.Duration
+	// HeartbeatInterval is about the time between two heartbeats of an endpoint; 0 is 1.2 s.
+	HeartbeatInterval time.Duration
 }
 
 // Directory holds the endpoints of all services. It is safe for concurrent use; create it
@@ -79,6 +84,12 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
+	if c.DrainTime == 0 {
+		c.DrainTime = defaultDrainTime
+	}
+	if c.HeartbeatInterval == 0 {
+		c.HeartbeatInterval = defaultHeartbeatInterval
+	}
 	return &Directory{
 		config: c, byID: map[string]*Endpoint{}, byKey: map[uint64]*Endpoint{}, byService: map[string][]*Endpoint{}, peers: newPeerLoads(), typicalTimes: map[string]time.Duration{},
 		versions: versionTable{}, mixedUntil: map[uint64]time.Time{}, departures: map[uint64]knownDeparture{}, capacities: map[string]*sampledCapacity{}, speeds: map[string]*serviceSpeeds{},
@@ -102,6 +113,9 @@
 		if r.Heartbeat != old.registration.Heartbeat {
 			old.heartbeat = heartbeat{readAt: now, writtenAfter: d.readAt, repeated: true}
 		}
+		if r.State == Draining {
+			d.extendService(old)
+		}
 		old.registration, old.state, old.missingSince = r, r.State, time.Time{}
 		old.tenure.frozen = false
 		if r.ColdFor > 0 {
@@ -141,8 +155,7 @@
 	if !ok || !e.missingSince.IsZero() {
 		return false
 	}
-	e.missingSince = now
-	e.tenure.freeze(d.readAt)
+	d.markMissing(e, now)
 	return true
 }
 
@@ -152,12 +165,18 @@
 	defer d.mu.Unlock()
 	for id, e := range d.byID {
 		if !keep[id] && e.missingSince.IsZero() {
-			e.missingSince = now
-			e.tenure.freeze(d.readAt)
+			d.markMissing(e, now)
 		}
 	}
 }
 
+// markMissing notes that the registration of an endpoint is missing; d.mu must be held.
+func (d *Directory) markMissing(e *Endpoint, now time.Time) {
+	d.extendService(e)
+	e.missingSince = now
+	e.tenure.freeze(d.readAt)
+}
+
 // StoreUnavailable notes that the store can't be read. Until the store answers again, an
 // endpoint stays usable if its registration went missing after the store's last answer.
 func (d *Directory) StoreUnavailable() {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -57,7 +57,10 @@
 	tenure *tenure
 	// missingSince is when the registration went missing, or zero while it is present.
 	missingSince time.Time
-	heartbeat    heartbeat
+	// servesUntil is until when the endpoint accepts connections though its registration is no longer
+	// ready, unless it crashes; zero if that is unknown.
+	servesUntil time.Time
+	heartbeat   heartbeat
 	// localRunning is the number of requests of this instance at the endpoint.
 	localRunning int
 	// peerRunning is the number of requests of other instances, from their load reports.
--- a/gateway/endpoint_result.go
+++ b/gateway/endpoint_result.go
@@ -67,12 +67,19 @@
 }
 
 // recordCrashIfDown records a crash if an endpoint that broke off a request at brokenAt no longer
-// accepts connections. If it does, only the connection was lost, which says nothing against
-// the request.
+// accepts connections and is not known to leave, or to have crashed all the same. If it does accept
+// them, only the connection was lost. Neither that nor a planned end says anything against the request.
 func (c *call) recordCrashIfDown(target endpoint.Target, brokenAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	alive := c.Transport.Alive(ctx, target)
+	cancel()
+	if alive {
+		return
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), closureTimeout)
 	defer cancel()
-	if c.Transport.Alive(ctx, target) {
+	if closure := c.awaitClosure(ctx, target, brokenAt); closure != endpoint.ClosureCrashed {
+		c.logClosure("endpoint left while it ran a request", target, closure)
 		return
 	}
 	c.CrashTracker.RecordCrash(c.identity, target.IncarnationKey(), target.PickedAt(), brokenAt)
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -122,14 +122,15 @@
 func (c *call) startAttempt(ctx context.Context, t endpoint.Target, results chan<- attemptResult) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	c.attempts++
-	go func() { results <- c.attemptAt(ctx, cancel, t) }()
+	repeatable := c.canRetry()
+	go func() { results <- c.attemptAt(ctx, cancel, t, repeatable) }()
 	return cancel
 }
 
 // attemptAt sends the request to an endpoint and returns the result. It releases the endpoint at
 // once if the response has been read, and otherwise when ctx ends, by cancel or before.
-func (c *call) attemptAt(ctx context.Context, cancel context.CancelFunc, t endpoint.Target) attemptResult {
-	response, closeResponse, err := c.roundTrip(ctx, t)
+func (c *call) attemptAt(ctx context.Context, cancel context.CancelFunc, t endpoint.Target, repeatable bool) attemptResult {
+	response, closeResponse, err := c.roundTrip(ctx, t, repeatable)
 	if closeResponse == nil {
 		cancel()
 		c.Directory.Release(t)
@@ -147,6 +148,7 @@
 func (c *call) startHedge(ctx context.Context, t endpoint.Target, results chan<- attemptResult) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	c.attempts++
+	repeatable := c.canRetry()
 	go func() {
 		if !c.repeatWithinQuota(ctx) || !c.Directory.Usable(t, time.Now()) {
 			cancel()
@@ -154,7 +156,7 @@
 			results <- attemptResult{target: t, response: bufferedResponse{notRun: true}}
 			return
 		}
-		results <- c.attemptAt(ctx, cancel, t)
+		results <- c.attemptAt(ctx, cancel, t, repeatable)
 	}()
 	return cancel
 }
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -41,6 +41,11 @@
 	// OnLeaving is called when a response of the endpoint says that it leaves, before Send or
 	// a method of the response returns. The response may be invalid or one to an earlier request.
 	OnLeaving func()
+	// ConfirmEnd is called when a response without a length or chunks has ended with its connection
+	// and the endpoint accepts no new one, as after a crash. connected reports whether the endpoint
+	// keeps another connection open. The response is whole if ConfirmEnd returns nil. A nil
+	// ConfirmEnd takes the endpoint for crashed.
+	ConfirmEnd func(ctx context.Context, connected func() bool) error
 }
 
 // Transport sends requests to endpoints.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lavendervale/lavendervale/endpoint"
 )
 
 // Metrics holds the metrics of a Gateway.
@@ -25,6 +27,8 @@
 	unconfirmed *prometheus.CounterVec
 	// shareRefusals counts requests refused because their customer was above its fair share.
 	shareRefusals prometheus.Counter
+	// connectionEnds counts responses that ended with the last connection that their endpoint accepts.
+	connectionEnds *prometheus.CounterVec
 }
 
 // latencyBuckets are the histogram bounds in seconds, from 2 ms to about 4 s.
@@ -68,7 +72,10 @@
 	m.shareRefusals = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "lavendervale_share_refusals_total", Help: "Requests refused because their customer was above its fair share while the engines were full.",
 	})
-	r.MustRegister(m.admissions, m.shareRefusals, m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
+	m.connectionEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lavendervale_connection_ends_total", Help: "Responses without framing that ended while their endpoint accepted no connection, by the closure of the endpoint and whether they were taken for whole.",
+	}, []string{"closure", "whole"})
+	r.MustRegister(m.connectionEnds, m.admissions, m.shareRefusals, m.unconfirmed, m.requests, m.failures, m.duration, m.queueTime, m.firstEventTime, m.hedges, m.permits, m.leavingResponses)
 	return m
 }
 
@@ -87,6 +94,11 @@
 	}
 }
 
+// observeConnectionEnd records a response that ended with the last connection that its endpoint accepts.
+func (m *Metrics) observeConnectionEnd(closure endpoint.Closure, whole bool) {
+	m.connectionEnds.WithLabelValues(closure.String(), strconv.FormatBool(whole)).Inc()
+}
+
 func (m *Metrics) observeAnswered(c *call, status int) { m.observe(c, "answered", status) }
 func (m *Metrics) observeRefused(c *call, r Refusal)   { m.observe(c, "refused", r.Status) }
 func (m *Metrics) observeCallerLeft(c *call)           { m.observe(c, "left", 0) }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -189,12 +189,14 @@
 	}
 }
 
-// roundTrip sends the request to an endpoint and reads the response as far as memory permits. The
-// second result closes the response; it is not nil if and only if the rest is to be read.
-func (c *call) roundTrip(ctx context.Context, t endpoint.Target) (bufferedResponse, func(), error) {
+// roundTrip sends the request to an endpoint and reads the response as far as memory permits; repeatable
+// tells whether another attempt may follow. The second result closes the response; it is not nil if and
+// only if the rest is to be read.
+func (c *call) roundTrip(ctx context.Context, t endpoint.Target, repeatable bool) (bufferedResponse, func(), error) {
+	end := &endConfirmer{call: c, target: t, repeatable: repeatable}
 	response, err := c.Transport.Send(ctx, t, EndpointRequest{
 		Request: c.request, Deadline: c.deadline, Priority: noPriority, Customer: c.customer.Name, FreshConnection: c.route.RetryPolicy() == route.AtMostOnce,
-		OnLeaving: c.leavingRecorder(t),
+		OnLeaving: c.leavingRecorder(t), ConfirmEnd: end.confirm,
 	})
 	if err != nil {
 		return bufferedResponse{}, nil, err
@@ -202,6 +204,7 @@
 	c.recordLimit(t, response)
 	body, err := response.Body()
 	if err == nil && response.Rest() != nil && !response.NotRun() {
+		end.repeatable = false
 		return newBufferedResponse(response, body), response.Close, nil
 	}
 	defer response.Close()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -157,9 +157,10 @@
 	s.attempts++
 	s.sentAt = time.Now()
 	openedAfter, admit := s.connectionRules()
+	end := &endConfirmer{call: s.call, target: s.target, repeatable: s.route.RetryPolicy() == route.Resumable}
 	response, err := s.Transport.Send(ctx, s.target, EndpointRequest{
 		Request: s.request, Context: s.admission.Text(), Deadline: s.deadline, Priority: s.enginePriority(), LastEventID: s.lastEventID, Customer: s.customer.Name,
-		OpenedAfter: openedAfter, Admit: admit, OnLeaving: s.leavingRecorder(s.target),
+		OpenedAfter: openedAfter, Admit: admit, OnLeaving: s.leavingRecorder(s.target), ConfirmEnd: end.confirm,
 	})
 	if err != nil {
 		if notRun(err) {
