--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,8 @@
 	overShare bool
 	// eventCount is the number of events passed to the caller, without empty ones.
 	eventCount int
+	// keptBytes is the length of what the turn added to its conversation, 0 if it was not kept.
+	keptBytes int
 }
 
 // Serve serves a request and writes the response, or a refusal, to w. It returns when the
@@ -321,6 +323,9 @@
 	if c.holder != "" {
 		fields = append(fields, zap.String("holder", c.holder))
 	}
+	if c.keptBytes > 0 {
+		fields = append(fields, zap.Int("body_bytes", len(r.Body)), zap.Int("kept_bytes", c.keptBytes))
+	}
 	fields = append(fields, c.admissionFields()...)
 	if c.eventCount > 0 {
 		fields = append(fields, zap.Int("events", c.eventCount), zap.Duration("first", c.firstEventTime))
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -134,6 +134,9 @@
 		c.logRequest("cut off", 0, "turn can't be recorded: "+err.Error())
 		return
 	}
+	if r.Completed != nil {
+		c.keptBytes = len(r.Completed.Text)
+	}
 	s.responder.FinishStream()
 	c.recordStreamed()
 }
