Keep turns whole that their callers take up at another front

Callers who took a turn up after the loss of a front, and then continued it, talked to a model that lacked the events which they had received before; nobody was told. The route has to keep turns and be resumable.

Cause: a front recorded as the turn what it had passed on itself, which for a stream that is taken up is its last part. Change: the events of such a stream are remembered by three other fronts, two at least, before they are sent (package transcript). A front at which the stream is taken up reads a majority of them, goes on with the text up to the event that the caller names, and writes it back as the next generation, so that an attempt which the caller has given up adds nothing. Where that is not known, and on routes that are not resumable, the request is refused with 503 and does not run. Why this works: any two majorities have a front in common, so the latest generation is always seen.

--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/lavendervale/lavendervale/origin"
 	"github.com/lavendervale/lavendervale/permit"
 	"github.com/lavendervale/lavendervale/quarantine"
+	"github.com/lavendervale/lavendervale/transcript"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -98,6 +99,8 @@
 	relayed *relayTable
 	// origins holds the origins of streams that this front or another one serves.
 	origins *origin.Store
+	// transcripts holds transcripts of streams that other fronts serve, or this one if it is alone.
+	transcripts *transcript.Store
 	// sessions holds the multiplexed connections to other fronts.
 	sessions *session.Pool
 	// datagrams is the UDP socket for gossip, listener the TCP socket for requests; both
@@ -134,7 +137,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	m := &Mesh{
 		started: make(chan struct{}),
-		config:  c, peers: newPeerTable(c.Name, c.Weight), suspects: quarantine.NewSuspects(), replicas: newReplicaStore(), permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), relayed: newRelayTable(), origins: origin.NewStore(), datagrams: datagrams, listener: listener,
+		config:  c, peers: newPeerTable(c.Name, c.Weight), suspects: quarantine.NewSuspects(), replicas: newReplicaStore(), permits: permit.NewIssuer(), quotas: permit.NewWindows(time.Now()), ownQuotas: permit.NewWindows(time.Now()), quotaHistory: permit.NewHistory(), relayed: newRelayTable(), origins: origin.NewStore(), transcripts: transcript.NewStore(), datagrams: datagrams, listener: listener,
 		sessions: session.NewPool(session.PoolConfig{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}),
--- a/adapter/mesh/server.go
+++ b/adapter/mesh/server.go
@@ -120,6 +120,11 @@
 		return h.replyDone(nil)
 	case r.GetFindOrigin() != nil:
 		return h.handleFindOrigin(r.GetFindOrigin())
+	case r.GetKeepTranscript() != nil:
+		state := m.transcripts.Keep(partFromProto(r.GetKeepTranscript().GetPart()), time.Now())
+		return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_TranscriptState{TranscriptState: &meshpb.TranscriptState{Generation: state.Generation, Length: uint64(state.Length), Writer: state.Writer}}})
+	case r.GetFindTranscript() != nil:
+		return h.handleFindTranscript(r.GetFindTranscript())
 	case r.GetFetch() != nil:
 		records := m.replicas.forShard(int(r.GetFetch().GetShard()))
 		return h.out.Write(&meshpb.Reply{Body: &meshpb.Reply_Copies{Copies: &meshpb.Copies{Records: records}}})
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -189,7 +189,7 @@
 	f.versionHistory = platform.NewVersionHistory(platform.VersionHistoryConfig{Store: f.store, Directory: f.directory, IsRecorder: f.mesh.IsRecorder, Logger: c.Logger})
 	f.gateway = gateway.New(gateway.Config{
 		Domain: c.Domain, Routes: f.routes, Directory: f.directory, Queue: dispatch.New(f.directory), Transport: f.endpointClient, Registrations: f.storeWatch,
-		TurnTracker: f.mesh, Overload: f.newOverload(), CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Shares: f.useRecorder(), Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
+		TurnTracker: f.mesh, Overload: f.newOverload(), CrashTracker: f.mesh, Permits: f.mesh, Origins: f.mesh, Transcripts: f.mesh, Quotas: f.mesh, QuotaSpan: c.QuotaSpan, Shares: f.useRecorder(), Metrics: gateway.NewMetrics(f.registry), Logger: c.Logger,
 	})
 	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lavendervale_endpoint_speed_ratio", Help: "Ratio of the time of the slowest endpoint to that of the fastest, of the service where it is greatest; 1 if none is known.",
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -31,6 +31,9 @@
 		if err := s.keepText(event); err != nil {
 			return errors.Join(errNoMemory, err)
 		}
+		if err := s.recordEvent(ctx, event); err != nil {
+			return err
+		}
 		if err := s.responder.WriteEvent(event.Raw); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,9 @@
 	TurnTracker TurnTracker
 	// Origins remembers the versions that began streams.
 	Origins OriginTracker
+	// Transcripts remembers what callers have received of streams whose turns are kept. Without it, no
+	// such stream can be taken up.
+	Transcripts TranscriptTracker
 	// CrashTracker remembers requests that crash endpoints.
 	CrashTracker CrashTracker
 	// Permits issues permits for endpoints that name a rate limit.
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -9,6 +9,7 @@
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/origin"
 	"github.com/lavendervale/lavendervale/quarantine"
+	"github.com/lavendervale/lavendervale/transcript"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -123,6 +124,16 @@
 	FindOrigin(ctx context.Context, attempt string) (origin.Origin, bool, error)
 }
 
+// TranscriptTracker remembers what callers have received of streams whose turns are kept.
+type TranscriptTracker interface {
+	// BeginTranscript returns the recorder of a stream that begins; stream identifies it.
+	BeginTranscript(stream string) transcript.Recorder
+	// ContinueTranscript returns the data of the events that the caller of a stream has received up to
+	// one, each followed by a newline, and the recorder of those that follow. Errors are of package
+	// transcript.
+	ContinueTranscript(ctx context.Context, stream, eventID string) ([]byte, transcript.Recorder, error)
+}
+
 // CrashTracker remembers requests that crash endpoints.
 type CrashTracker interface {
 	// RecordCrash notes that an incarnation of an endpoint, given as a hash, crashed at endedAt while
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/lavendervale/lavendervale/endpoint"
 	"github.com/lavendervale/lavendervale/route"
+	"github.com/lavendervale/lavendervale/transcript"
 	"github.com/lavendervale/lavendervale/turn"
 )
 
@@ -32,13 +33,18 @@
 		c.refuseFailed(ctx, w, err, nil)
 		return
 	}
+	text, recorder, err := c.openTranscript(ctx)
+	if err != nil {
+		c.refuseFailed(ctx, w, err, nil)
+		return
+	}
 	admission, err := c.beginTurn(ctx)
 	if err != nil {
 		c.refuseTurn(ctx, w, err)
 		return
 	}
 	c.holder = admission.Endpoint()
-	s := &streaming{call: c, admission: admission, responder: w, lastEventID: c.request.LastEventID, version: version, resumedAt: time.Now()}
+	s := &streaming{call: c, admission: admission, responder: w, lastEventID: c.request.LastEventID, version: version, resumedAt: time.Now(), text: text, recorder: recorder}
 	complete := s.run(ctx)
 	c.endTurn(s, complete)
 }
@@ -70,7 +76,9 @@
 	headSent bool
 	// text is what the turn adds to the conversation: the request body, then the data of each event
 	// followed by a newline. It is nil on routes that keep no turns.
-	text         []byte
+	text []byte
+	// recorder records the events of a stream that its caller may take up elsewhere, or is nil.
+	recorder     transcript.Recorder
 	outputTokens int64
 }
 
@@ -103,7 +111,7 @@
 			s.Metrics.observeCallerLeft(s.call)
 			s.logRequest("caller left", 0, err.Error())
 			return false
-		case errors.Is(err, errNoMemory):
+		case errors.Is(err, errNoMemory), transcript.KindOf(err) == transcript.KindSuperseded:
 			s.fail(ctx, err)
 			return false
 		}
