Leave the times of endpoints out of the example settings

Change: the example is as it was, like quota_span the two are in the template of the platform and in OPERATORS.md; they have a test of their own.

--- a/adapter/inifile/front_test.go
+++ b/adapter/inifile/front_test.go
@@ -22,8 +22,6 @@
 	require.Equal(t, 8*time.Second, c.GracePeriod)
 	require.Equal(t, 12, c.Shards)
 	require.Equal(t, 800.0, c.StoreWriteRate)
-	require.Equal(t, 2*time.Second, c.DrainTime)
-	require.Equal(t, 1200*time.Millisecond, c.HeartbeatInterval)
 }
 
 func TestFrontSettingsErrors(t *testing.T) {
@@ -39,8 +37,8 @@
 		{name: "unknown key", old: "shards = 12", new: "shard = 12", want: "shard"},
 		{name: "unknown section", old: "[log]", new: "[logs]", want: "logs"},
 		{name: "key outside any section", old: "[process]\n", new: "colour = blue\n[process]\n", want: "front.ini:3: colour: outside any section"},
-		{name: "heartbeat without a unit", old: "heartbeat = 1.2s", new: "heartbeat = 1200", want: "[endpoints] heartbeat"},
-		{name: "unknown key of endpoints", old: "drain = 2s", new: "drains = 2s", want: "[endpoints] drains"},
+		{name: "heartbeat without a unit", old: "[log]", new: "[endpoints]\nheartbeat = 1200\n[log]", want: "[endpoints] heartbeat"},
+		{name: "unknown key of endpoints", old: "[log]", new: "[endpoints]\ndrains = 2s\n[log]", want: "[endpoints] drains"},
 		{name: "no such admission", old: "admission = queue", new: "admission = refuses", want: "[overload] admission"},
 		{name: "load of zero", old: "load = 0.9", new: "load = 0", want: "[overload] load"},
 		{name: "negative load", old: "load = 0.9", new: "load = -1", want: "[overload] load"},
@@ -121,3 +119,26 @@
 		require.Equal(t, refuse, s.Front().RefuseWhenFull, contracts)
 	}
 }
+
+// TestTimesOfEndpoints guards against fronts that take endpoints for crashed by the times of another platform, or that don't start
+// because the platform names none.
+func TestTimesOfEndpoints(t *testing.T) {
+	text, err := os.ReadFile("../../examples/settings-front.ini")
+	require.NoError(t, err)
+	tests := []struct {
+		name, section    string
+		drain, heartbeat time.Duration
+	}{
+		{name: "no section"},
+		{name: "empty section", section: "[endpoints]\n"},
+		{name: "both", section: "[endpoints]\ndrain = 4000ms\nheartbeat = 1500ms\n", drain: 4 * time.Second, heartbeat: 1500 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, err := inifile.ReadSettings("front.ini", []byte(strings.Replace(string(text), "[log]", test.section+"[log]", 1)))
+			require.NoError(t, err)
+			require.Equal(t, test.drain, s.Front().DrainTime)
+			require.Equal(t, test.heartbeat, s.Front().HeartbeatInterval)
+		})
+	}
+}
