Tell crashes of endpoints that leave sooner

Cause: waits for a heartbeat that is half an interval late, seen by the regular reads of the entries, 0.4 s apart. A request often has less time left, and its part was then passed on as whole; that is what the waiting is for. Change: a heartbeat that is a quarter of an interval late tells, and while a caller waits the entries are read every 0.1 s (0.5 s where none does). Result: the tests of hold with the bound moved, those with crashes too.

--- a/endpoint/closure.go
+++ b/endpoint/closure.go
@@ -25,7 +25,7 @@
 	defaultHeartbeatInterval = 1200 * time.Millisecond
 	// overdueHeartbeats is the time without a heartbeat, in heartbeat intervals, that no living endpoint
 	// has: heartbeats are only about an interval apart.
-	overdueHeartbeats = 1.5
+	overdueHeartbeats = 1.25
 	// expiryHeartbeats is the time without a heartbeat, in heartbeat intervals, after which the platform
 	// removes a registration. One that leaves removes its own.
 	expiryHeartbeats = 3
--- a/gateway/connection_end.go
+++ b/gateway/connection_end.go
@@ -11,14 +11,12 @@
 )
 
 const (
-	// closureCheckInterval is the time between two looks at what is known of an endpoint that closed a
-	// connection.
-	closureCheckInterval = 20 * time.Millisecond
-	// closureReadTimeout bounds the wait for the read of the registrations from which on heartbeats
-	// show that such an endpoint lives.
-	closureReadTimeout = 500 * time.Millisecond
-	// closureTimeout bounds the wait for what tells a crash from a planned end, where no caller waits.
-	closureTimeout = 5 * time.Second
+	// closureReadInterval is the time between two reads of the registrations while a caller waits for
+	// what tells a crash from a planned end, and closureReadTimeout bounds the wait for one of them.
+	closureReadInterval, closureReadTimeout = 100 * time.Millisecond, 500 * time.Millisecond
+	// lazyClosureReadInterval is the time between two reads where no caller waits, and closureTimeout
+	// bounds that wait.
+	lazyClosureReadInterval, closureTimeout = 500 * time.Millisecond, 5 * time.Second
 	// endReserve is the part of a request's time that is left to record and send the end of its response.
 	endReserve = 150 * time.Millisecond
 )
@@ -47,7 +45,7 @@
 		closure = endpoint.ClosureOrderly
 	case closure == endpoint.ClosureUndecided && !e.repeatable:
 		waitCtx, cancel := context.WithDeadline(ctx, c.deadline.Add(-endReserve))
-		closure = c.awaitClosure(waitCtx, e.target, endedAt)
+		closure = c.awaitClosure(waitCtx, e.target, endedAt, closureReadInterval)
 		cancel()
 	}
 	if ctx.Err() != nil {
@@ -70,19 +68,16 @@
 }
 
 // awaitClosure returns why an endpoint closed a connection at closedAt and accepts no other one, once
-// that is known or ctx ends.
-func (c *call) awaitClosure(ctx context.Context, t endpoint.Target, closedAt time.Time) endpoint.Closure {
-	closure := c.Directory.Closure(t, closedAt, time.Now())
-	if closure != endpoint.ClosureUndecided {
-		return closure
-	}
-	readCtx, cancel := context.WithTimeout(ctx, closureReadTimeout)
-	c.Registrations.ReadRegistrations(readCtx)
-	cancel()
+// that is known or ctx ends. It reads the registrations once in each interval.
+func (c *call) awaitClosure(ctx context.Context, t endpoint.Target, closedAt time.Time, interval time.Duration) endpoint.Closure {
 	for {
-		closure = c.Directory.Closure(t, closedAt, time.Now())
-		if closure != endpoint.ClosureUndecided || timer.Sleep(ctx, closureCheckInterval) != nil {
+		closure := c.Directory.Closure(t, closedAt, time.Now())
+		if closure != endpoint.ClosureUndecided || ctx.Err() != nil {
 			return closure
 		}
+		readCtx, cancel := context.WithTimeout(ctx, closureReadTimeout)
+		c.Registrations.ReadRegistrations(readCtx)
+		cancel()
+		_ = timer.Sleep(ctx, interval)
 	}
 }
--- a/gateway/endpoint_result.go
+++ b/gateway/endpoint_result.go
@@ -78,7 +78,7 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), closureTimeout)
 	defer cancel()
-	if closure := c.awaitClosure(ctx, target, brokenAt); closure != endpoint.ClosureCrashed {
+	if closure := c.awaitClosure(ctx, target, brokenAt, lazyClosureReadInterval); closure != endpoint.ClosureCrashed {
 		c.logClosure("endpoint left while it ran a request", target, closure)
 		return
 	}
