Bound the events of a transcript

Cause: the text of a transcript is bounded, the identifiers and ends of its events were not: a stream of empty events takes some 40 MB of the front that serves it before its text reaches 1 MiB, one with long identifiers more. Seen when reading the change. Change: at most 16,384 events, and no stream is taken up after an event whose identifier is longer than 256 bytes. Parts find their events by binary search. Result: TestTranscriptOfManyEventsEnds.

--- a/adapter/mesh/transcripts.go
+++ b/adapter/mesh/transcripts.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -96,8 +97,14 @@
 	if len(w.holders) == 0 {
 		w.chooseHolders()
 	}
-	w.marks = append(w.marks, transcript.Mark{EventID: eventID, End: len(text)})
-	err := w.send(ctx, text)
+	if len(eventID) > transcript.MaxEventIDBytes {
+		eventID = ""
+	}
+	err := error(transcript.Errorf("record transcript", transcript.KindUnavailable, "more than %d events", transcript.MaxEvents))
+	if len(w.marks) < transcript.MaxEvents {
+		w.marks = append(w.marks, transcript.Mark{EventID: eventID, End: len(text)})
+		err = w.send(ctx, text)
+	}
 	if err == nil || transcript.KindOf(err) == transcript.KindSuperseded || ctx.Err() != nil {
 		return err
 	}
@@ -162,13 +169,8 @@
 
 // part returns what follows an offset in a text.
 func (w *transcriptWriter) part(offset int, text []byte, marks []transcript.Mark) transcript.Part {
-	p := transcript.Part{Stream: w.stream, Generation: w.generation, Offset: offset, Text: text[offset:], Holders: w.names, Writer: w.number}
-	for _, m := range marks {
-		if m.End > offset {
-			p.Marks = append(p.Marks, m)
-		}
-	}
-	return p
+	first := sort.Search(len(marks), func(i int) bool { return marks[i].End > offset })
+	return transcript.Part{Stream: w.stream, Generation: w.generation, Offset: offset, Text: text[offset:], Marks: marks[first:], Holders: w.names, Writer: w.number}
 }
 
 // keepTranscript has a front, which may be this one, keep a part of a transcript. The end of a request does
--- a/adapter/mesh/transcripts_test.go
+++ b/adapter/mesh/transcripts_test.go
@@ -108,6 +108,19 @@
 	}
 }
 
+// TestTranscriptOfManyEventsEnds guards against streams of very many short events that fill the memory of the front that serves them.
+func TestTranscriptOfManyEventsEnds(t *testing.T) {
+	m := newTestMesh(t, "alone")
+	r := m.BeginTranscript("stream")
+	text := []byte(strings.Repeat("\n", transcript.MaxEvents+2))
+	for id := 1; id <= len(text); id++ {
+		require.NoError(t, r.Append(t.Context(), fmt.Sprint(id), text[:id]))
+	}
+	require.Empty(t, r.(*transcriptWriter).marks)
+	_, _, err := m.ContinueTranscript(t.Context(), "stream", fmt.Sprint(transcript.MaxEvents+1))
+	require.Equal(t, transcript.KindNotFound, transcript.KindOf(err), "%v", err)
+}
+
 // TestTranscriptThatIsTooLongEnds guards against streams that are held up or cut off because they are too long to be remembered.
 func TestTranscriptThatIsTooLongEnds(t *testing.T) {
 	fronts, _ := fleet(t, 4)
--- a/transcript/store.go
+++ b/transcript/store.go
@@ -10,8 +10,9 @@
 const (
 	// retention is how long a transcript is kept after its last part: as long as the longest stream lasts.
 	retention = time.Minute
-	// MaxBytes bounds the text of one transcript.
-	MaxBytes = 1 << 20
+	// MaxBytes bounds the text of one transcript, MaxEvents its events, and MaxEventIDBytes an identifier of an
+	// event after which a stream can be taken up.
+	MaxBytes, MaxEvents, MaxEventIDBytes = 1 << 20, 16 << 10, 256
 	// maxStoredBytes bounds the memory for all transcripts of an instance; those that have not grown
 	// for the longest time are dropped.
 	maxStoredBytes = 8 << 20
--- a/transcript/transcript.go
+++ b/transcript/transcript.go
@@ -25,7 +25,7 @@
 
 // Valid reports whether the marks of a part are within its text and in order.
 func (p Part) Valid() bool {
-	if p.Offset < 0 || p.Offset > MaxBytes || len(p.Text) > MaxBytes-p.Offset {
+	if p.Offset < 0 || p.Offset > MaxBytes || len(p.Text) > MaxBytes-p.Offset || len(p.Marks) > MaxEvents {
 		return false
 	}
 	end := p.Offset
