Write the entry of a test's endpoint before its front starts

The dump shows the test waiting for a request that never came: its endpoint wrote its first entry in the background, after it had removed the others, and the front could start without any; it refuses the request at once then. By reading; the refusal itself was not logged. Change: the first entry is written before the front starts, and a request that ends without reaching the endpoint fails the test instead of stopping it.

--- a/daemon/front_departure_test.go
+++ b/daemon/front_departure_test.go
@@ -47,6 +47,8 @@
 	require.NoError(t, err)
 	e := &departingEndpoint{site: s, id: "departing", service: service, listener: l, conns: make(chan net.Conn, 1)}
 	e.state.Store("ready")
+	// A front that starts has to find the entry.
+	e.announce(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		cancel()
@@ -78,11 +80,16 @@
 
 // beat writes the entry until ctx ends.
 func (e *departingEndpoint) beat(ctx context.Context) {
-	for seq := 1; ctx.Err() == nil; seq++ {
-		if state := e.state.Load().(string); state != "" {
-			e.site.store.Put("keyed.servers", e.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":%d}`, e.service, e.listener.Addr(), state, seq))
-		}
+	for seq := 2; ctx.Err() == nil; seq++ {
 		time.Sleep(beatInterval)
+		e.announce(seq)
+	}
+}
+
+// announce writes the entry, unless heartbeats have stopped.
+func (e *departingEndpoint) announce(seq int) {
+	if state := e.state.Load().(string); state != "" {
+		e.site.store.Put("keyed.servers", e.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":%d}`, e.service, e.listener.Addr(), state, seq))
 	}
 }
 
@@ -130,7 +137,12 @@
 				status, _, body, err := f.send(t, http.MethodPost, test.path, "r", "x")
 				answers <- answer{status, body, err}
 			}()
-			conn := <-e.conns
+			var conn net.Conn
+			select {
+			case conn = <-e.conns:
+			case got := <-answers:
+				require.Fail(t, "the request does not reach the endpoint", "%d %q %v", got.status, got.body, got.err)
+			}
 			line := "endpoint changed"
 			if test.removed {
 				e.state.Store("")
